--- /dev/null
+++ b/crates/comethitch-adapter/src/outlet.rs
@@ -0,0 +1,107 @@
+//! Writes each act of a decision straight into the reply.
+
+use comethitch::time::{Span, Time};
+use comethitch::{CommandId, Host, Outlet};
+
+const HEADER: usize = 8;
+const RECORD: usize = 24;
+
+/// The reply to one batch, as it grows. Its buffers serve every batch.
+#[derive(Default)]
+pub struct Reply {
+    frame: Vec<u8>,
+    tail: Vec<u8>,
+    count: u32,
+    now: Time,
+    instance: u16,
+}
+
+impl Reply {
+    pub fn start(&mut self, now: Time) {
+        self.frame.clear();
+        self.frame.resize(HEADER, 0);
+        self.tail.clear();
+        self.count = 0;
+        self.now = now;
+    }
+
+    /// The acts that follow are this instance's.
+    pub fn of(&mut self, instance: u16) -> &mut Reply {
+        self.instance = instance;
+        self
+    }
+
+    pub fn finish(&mut self) -> &[u8] {
+        self.frame.extend_from_slice(&self.tail);
+        let length = self.frame.len() as u32;
+        self.frame[..4].copy_from_slice(&length.to_le_bytes());
+        self.frame[4..HEADER].copy_from_slice(&self.count.to_le_bytes());
+        &self.frame
+    }
+
+    pub fn bail_out(&mut self, text: &str) {
+        self.text(88, text);
+    }
+
+    fn record(&mut self, code: u8, fields: &[&[u8]]) {
+        let end = self.frame.len() + RECORD;
+        self.frame.push(code);
+        self.frame.extend_from_slice(&self.instance.to_le_bytes());
+        fields.iter().for_each(|field| self.frame.extend_from_slice(field));
+        self.frame.resize(end, 0);
+        self.count += 1;
+    }
+
+    fn text(&mut self, code: u8, text: &str) {
+        let (start, length) = (self.tail.len() as u32, text.len() as u32);
+        self.tail.extend_from_slice(text.as_bytes());
+        self.record(code, &[&start.to_le_bytes(), &length.to_le_bytes()]);
+    }
+}
+
+fn micros(span: Span) -> [u8; 4] {
+    u32::try_from(span.0).unwrap_or(u32::MAX).to_le_bytes()
+}
+
+impl Outlet for Reply {
+    fn now(&self) -> Time {
+        self.now
+    }
+
+    fn dispatch(&mut self, cmd: CommandId, host: Host, time_out: Span) {
+        let fields = [&cmd.to_le_bytes()[..], &host.address, &host.port.to_le_bytes(), &micros(time_out)];
+        self.record(80, &fields);
+    }
+
+    fn cancel(&mut self, cmd: CommandId, nth: u16) {
+        self.record(90, &[&cmd.to_le_bytes(), &nth.to_le_bytes()]);
+    }
+
+    fn throttle(&mut self, cmd: CommandId, retry_after: Option<Span>) {
+        self.record(84, &[&cmd.to_le_bytes(), &micros(retry_after.unwrap_or_default())]);
+    }
+
+    fn fail(&mut self, cmd: CommandId) {
+        self.record(86, &[&cmd.to_le_bytes()]);
+    }
+
+    fn probe(&mut self, host: Host) {
+        self.record(81, &[&host.address, &host.port.to_le_bytes()]);
+    }
+
+    fn close_idle(&mut self, host: Host) {
+        self.record(85, &[&host.address, &host.port.to_le_bytes()]);
+    }
+
+    fn wake(&mut self, after: Span) {
+        self.record(82, &[&micros(after)]);
+    }
+
+    fn subscribe(&mut self) {
+        self.record(83, &[&[1]]);
+    }
+
+    fn note(&mut self, text: &str) {
+        self.text(91, text);
+    }
+}
--- /dev/null
+++ b/crates/comethitch/src/histogram.rs
@@ -0,0 +1,56 @@
+//! A small histogram: sixteen bins, each half a power of two wide, halved as it fills so that it forgets.
+
+use crate::time::Span;
+
+const BINS: usize = 16;
+
+/// ```
+/// use comethitch::{histogram::Histogram, time::Span};
+/// let mut took = Histogram::new(Span(1_000), 64);
+/// assert_eq!(took.quantile(0.5), None);
+/// for _ in 0..9 {
+///     took.add(Span(2_100));
+/// }
+/// took.add(Span(90_000));
+/// assert!(took.quantile(0.5).unwrap() < Span(3_000));
+/// assert!(took.quantile(0.99).unwrap() > Span(60_000));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Histogram {
+    lowest: Span,
+    full: u32,
+    total: u32,
+    counts: [u32; BINS],
+}
+
+impl Histogram {
+    /// The first bin ends at `lowest`; once `full` values are in, every count is halved.
+    pub fn new(lowest: Span, full: u32) -> Histogram {
+        Histogram { lowest, full, total: 0, counts: [0; BINS] }
+    }
+
+    pub fn add(&mut self, value: Span) {
+        let halves = 2.0 * value.over(self.lowest).max(f64::MIN_POSITIVE).log2();
+        self.counts[(halves.ceil().max(0.0) as usize).min(BINS - 1)] += 1;
+        self.total += 1;
+        if self.total >= self.full {
+            self.counts.iter_mut().for_each(|count| *count /= 2);
+            self.total = self.counts.iter().sum();
+        }
+    }
+
+    pub fn total(&self) -> u32 {
+        self.total
+    }
+
+    /// The middle of the bin below which this share of the values lies.
+    pub fn quantile(&self, share: f64) -> Option<Span> {
+        let wanted = share * f64::from(self.total);
+        let mut below = 0;
+        self.counts.iter().enumerate().find_map(|(bin, count)| {
+            below += count;
+            let reached = *count > 0 && f64::from(below) >= wanted;
+            reached.then(|| self.lowest.scaled(2f64.powf((bin as f64 - 0.5) / 2.0)))
+        })
+    }
+}
--- /dev/null
+++ b/crates/comethitch/src/lib.rs
@@ -0,0 +1,311 @@
+//! comethitch decides where each command to a sharded, replicated database goes.
+//!
+//! This file is the interface of the decision module, [`policy`]: what a caller tells it, and the trait
+//! [`Outlet`] through which it acts. Nothing here decides anything. There is no I/O and no clock: every
+//! call comes with an outlet that tells the time, so any protocol can be put before the same decisions.
+
+pub mod chance;
+pub mod histogram;
+pub mod policy;
+pub mod time;
+
+use std::collections::BTreeMap;
+use time::{Span, Time};
+
+pub use policy::{Handle, Router};
+
+/// A database host, as the caller names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Host {
+    pub address: [u8; 4],
+    pub port: u16,
+}
+
+/// A command's id, as the caller gives it.
+pub type CommandId = u32;
+
+/// The number of a group of database hosts: one primary and its replicas.
+pub type Shard = u16;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Primary,
+    Replica,
+}
+
+/// Where a host stands in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a dispatch, or a probe, ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Answered,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Cancelled,
+    Moot,
+    Miss,
+}
+
+impl Ending {
+    /// Whether this ending proves that the command never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::NoConnection | Ending::Moot | Ending::Miss)
+    }
+}
+
+/// What a host says of itself; `None` is not told.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Standing {
+    pub role: Option<Role>,
+    /// All commits up to here are applied there, at the least.
+    pub position: Option<Time>,
+}
+
+/// What a command group's commands may do on a second run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Replayable,
+    Keyed,
+    Mutating,
+}
+
+/// Among which hosts a keyed command's repeat is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    Everywhere,
+    Zone,
+    Shard,
+}
+
+/// How new the data must be that a command is answered from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    Write,
+    Fresh,
+    Session,
+    Bounded(Span),
+    Any,
+}
+
+/// What a replica does with a read that it is too far behind for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Guards {
+    Off,
+    Refuse,
+    Wait,
+}
+
+#[derive(Clone, Debug)]
+pub struct CommandGroup {
+    pub target: Span,
+    pub timeout: Span,
+    pub benefit: f64,
+    pub late_share: f64,
+    pub effect: Effect,
+    pub reach: Reach,
+    pub remembered: Span,
+    pub need: Need,
+}
+
+/// What the module reads of a deployment, decoded once at start.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub groups: Vec<CommandGroup>,
+    pub guards: Guards,
+    pub tokens_carried: bool,
+    pub zone: u8,
+    pub routers: u32,
+    pub beat: Span,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    pub second_copies: bool,
+    pub max_dispatches: usize,
+    pub longest_retry_after: Option<Span>,
+    pub connect_timeout: Span,
+    pub answer_slack: Span,
+    pub drain_grace: Span,
+    pub gone_is_advice: bool,
+    pub must_subscribe: bool,
+    pub must_ask: Span,
+    pub cold_from: f64,
+    pub warm_within: Span,
+    pub fall_multiple: f64,
+    pub fall_span: Span,
+    origin: Time,
+    position_at: Option<usize>,
+    role_at: Option<usize>,
+}
+
+impl Deployment {
+    /// Reads the `path=value` lines of a start message.
+    ///
+    /// ```
+    /// let missing = comethitch::Deployment::read("me=0\n").unwrap_err();
+    /// assert_eq!(missing, "classes.count is missing");
+    /// ```
+    pub fn read(text: &str) -> Result<Deployment, String> {
+        let lines = Lines(text.lines().filter_map(|line| line.split_once('=')).collect());
+        let needs: Vec<&str> = lines.text("domain.class_read")?.split(',').collect();
+        let bounds: Vec<&str> = lines.text("domain.oldest_data_us")?.split(',').collect();
+        let groups = (0..lines.get::<usize>("classes.count")?)
+            .map(|i| lines.command_group(i, needs.get(i).copied(), bounds.get(i).copied()))
+            .collect::<Result<_, String>>()?;
+        let names: Vec<&str> = lines.text_or("load_info.names", "").split(',').collect();
+        let at = |name| names.iter().position(|n| *n == name);
+        let retry_after = lines.or("permissions.retry_after", false)?;
+        Ok(Deployment {
+            groups,
+            guards: lines.one_of(
+                "domain.guards",
+                &[("off", Guards::Off), ("refuse", Guards::Refuse), ("wait", Guards::Wait)],
+            )?,
+            tokens_carried: lines.text_or("domain.tokens", "carried") == "carried",
+            zone: lines.or("my_zone", 0)?,
+            routers: lines.get::<u32>("siblings")?.max(1),
+            beat: lines.span("tick_us")?,
+            may_cancel: lines.or("permissions.cancel", false)?,
+            may_probe: lines.or("permissions.may_probe", false)?,
+            second_copies: lines.or("permissions.second_copies", false)?,
+            max_dispatches: lines.get("permissions.max_attempts")?,
+            longest_retry_after: match retry_after {
+                true => Some(lines.span("permissions.max_retry_after_us")?),
+                false => None,
+            },
+            connect_timeout: lines.span("permissions.connect_timeout_us")?,
+            answer_slack: lines.span("rules.answer_slack_us")?,
+            drain_grace: lines.span("rules.drain_grace_us")?,
+            gone_is_advice: lines.or("rules.gone_is_advice", false)?,
+            must_subscribe: lines.text_or("membership_mode", "automatic") == "subscribe",
+            must_ask: Span(lines.or("rules.must_ask_in_us", 0)?),
+            cold_from: lines.get("rules.cold_from")?,
+            warm_within: lines.span("rules.warm_within_us")?,
+            fall_multiple: lines.get("rules.fall_multiple")?,
+            fall_span: lines.span("rules.fall_us")?,
+            origin: Time(lines.or("domain.origin_time_us", 0)?),
+            position_at: at("x0"),
+            role_at: at("x1"),
+        })
+    }
+
+    /// What the values of a host's report say. The position is a 32-bit float, rounded to the nearest: the
+    /// next one below is surely not past the truth.
+    pub fn reported(&self, values: &[f32]) -> Standing {
+        let value = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
+        let position = value(self.position_at)
+            .map(|seconds| self.origin + Span((f64::from(seconds.next_down()) * 1e6).max(0.0) as u64));
+        let role = value(self.role_at).map(|role| match role >= 0.5 {
+            true => Role::Primary,
+            false => Role::Replica,
+        });
+        Standing { role, position }
+    }
+
+    /// What the note on an answer says: four times the position in milliseconds, plus the role.
+    pub fn noted(&self, note: u32) -> Standing {
+        let role = match note % 4 {
+            1 => Some(Role::Primary),
+            2 => Some(Role::Replica),
+            _ => None,
+        };
+        let position = (note >= 4).then(|| self.origin + Span(u64::from(note / 4) * 1000));
+        Standing { role, position }
+    }
+}
+
+struct Lines<'a>(BTreeMap<&'a str, &'a str>);
+
+impl Lines<'_> {
+    fn text(&self, key: &str) -> Result<&str, String> {
+        self.0.get(key).copied().ok_or_else(|| format!("{key} is missing"))
+    }
+
+    fn text_or<'a>(&'a self, key: &str, other: &'a str) -> &'a str {
+        self.0.get(key).copied().unwrap_or(other)
+    }
+
+    fn get<T: std::str::FromStr>(&self, key: &str) -> Result<T, String> {
+        let text = self.text(key)?;
+        text.parse().map_err(|_| format!("{key} is unreadable: {text:?}"))
+    }
+
+    fn or<T: std::str::FromStr>(&self, key: &str, other: T) -> Result<T, String> {
+        if self.0.contains_key(key) { self.get(key) } else { Ok(other) }
+    }
+
+    fn span(&self, key: &str) -> Result<Span, String> {
+        self.get(key).map(Span)
+    }
+
+    fn one_of<T: Copy>(&self, key: &str, known: &[(&str, T)]) -> Result<T, String> {
+        let text = self.text(key)?;
+        let found = known.iter().find(|(name, _)| *name == text);
+        found.map(|(_, value)| *value).ok_or_else(|| format!("{key} is unreadable: {text:?}"))
+    }
+
+    fn command_group(
+        &self,
+        i: usize,
+        need: Option<&str>,
+        bound: Option<&str>,
+    ) -> Result<CommandGroup, String> {
+        let key = |field: &str| format!("classes.{i}.{field}");
+        let bound = || -> Result<Span, String> {
+            let text = bound.ok_or("domain.oldest_data_us is too short")?;
+            text.parse().map(Span).map_err(|_| format!("domain.oldest_data_us is unreadable: {text:?}"))
+        };
+        let need = match need.ok_or("domain.class_read is too short")? {
+            "write" => Need::Write,
+            "fresh" => Need::Fresh,
+            "session" => Need::Session,
+            "bounded" => Need::Bounded(bound()?),
+            "any" => Need::Any,
+            other => return Err(format!("domain.class_read is unreadable: {other:?}")),
+        };
+        let effects =
+            [("repeatable", Effect::Replayable), ("by_key", Effect::Keyed), ("once", Effect::Mutating)];
+        let effect = self.one_of(&key("effect"), &effects)?;
+        let reaches = [("all", Reach::Everywhere), ("zone", Reach::Zone), ("cell", Reach::Shard)];
+        Ok(CommandGroup {
+            target: self.span(&key("target_us"))?,
+            timeout: self.span(&key("deadline_us"))?,
+            benefit: self.get(&key("value"))?,
+            late_share: self.or(&key("late_value"), 0.0)?,
+            effect,
+            reach: if effect == Effect::Keyed {
+                self.one_of(&key("group"), &reaches)?
+            } else {
+                Reach::Everywhere
+            },
+            remembered: Span(self.or(&key("window_us"), 0)?),
+            need,
+        })
+    }
+}
+
+/// What the decisions act through. An implementation carries each call out; it decides nothing.
+pub trait Outlet {
+    fn now(&self) -> Time;
+    /// Sends the command to a host; its dispatches are numbered from 0 in the order of these calls.
+    fn dispatch(&mut self, cmd: CommandId, host: Host, time_out: Span);
+    fn cancel(&mut self, cmd: CommandId, nth: u16);
+    /// Final answer: rejected, and trying again is harmless. No span, no advice when to.
+    fn throttle(&mut self, cmd: CommandId, retry_after: Option<Span>);
+    /// Final answer: failed, with nothing said of its effect.
+    fn fail(&mut self, cmd: CommandId);
+    fn probe(&mut self, host: Host);
+    fn close_idle(&mut self, host: Host);
+    /// Asks for a call of [`Router::woken`] after this span.
+    fn wake(&mut self, after: Span);
+    /// Asks for every change of the list from now on.
+    fn subscribe(&mut self);
+    fn note(&mut self, text: &str);
+}
--- /dev/null
+++ b/crates/comethitch/src/policy.rs
@@ -0,0 +1,1109 @@
+//! The decision module: every decision of the router is made in this file.
+//!
+//! A caller makes one [`Router`] for each instance with [`Router::start`], tells it of the list, of probes and
+//! of the passing time, and gives it commands with [`Router::take`]. That returns a [`Handle`]; what happens
+//! to the command later is a call on the handle. The interface, and the trait that carries acts out, stand in
+//! `lib.rs`. `docs/design.md` tells the mechanism; a comment that begins "Beyond the design" marks a departure.
+
+use crate::chance::Chance;
+use crate::histogram::Histogram;
+use crate::time::{Span, Time};
+use crate::{CommandGroup, CommandId, Deployment, Effect, Ending, Guards, Host, Lifecycle, Need, Outlet};
+use crate::{Reach, Role, Shard, Standing};
+use std::collections::BTreeMap;
+
+// The design page's own figures.
+const PROBE_EVERY: Span = Span(1_000_000);
+const SILENCE: Span = Span(2_000_000);
+const STAGED: Span = Span(3_000_000);
+const LOST_SHARE: f64 = 0.6;
+
+/// Further dispatches that each first one pays for, and how many may be saved up.
+const FURTHER_SHARE: f64 = 0.2;
+const FURTHER_SAVED: f64 = 16.0;
+/// A dispatch out for this many times its command group's usual answer time is overdue.
+const OVERDUE: f64 = 4.0;
+/// Overdue or timed-out dispatches without one answer that make a host mute.
+const MUTE_AFTER: u32 = 2;
+/// The part of a bound kept as a margin where only positions guard a read.
+const MARGIN: u64 = 32;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Healthy,
+    Unhealthy,
+    Failover,
+}
+
+/// One group of hosts: a primary and its replicas.
+struct Group {
+    primary: Option<usize>,
+    listed: Option<usize>,
+    serial: u32,
+    state: State,
+    since: Time,
+    /// Dispatches out to the primary as the group became Unhealthy, and how many of them were lost.
+    noted: u32,
+    lost: u32,
+    nodes: Vec<usize>,
+}
+
+/// A database host as this router sees it.
+struct Node {
+    host: Host,
+    zone: u8,
+    shard: Shard,
+    power: f64,
+    leaving: Option<Time>,
+    started: Option<Time>,
+    role: Option<Role>,
+    /// When it last answered as primary.
+    led: Time,
+    /// All commits up to here are applied there: proven, never going back.
+    position: Time,
+    /// How far behind it seemed when last told, and when that was.
+    lag: Span,
+    lag_told: Time,
+    out: u32,
+    load: Span,
+    limit: Span,
+    limit_cut: Time,
+    /// The last answer to a command, and the last sign of life of any kind.
+    heard: Time,
+    alive: Time,
+    unheard: u32,
+    overdue: u32,
+    mute: bool,
+    strikes: u32,
+    shunned: Time,
+    probe_failed: bool,
+    probe_sent: Option<Time>,
+    probe_next: Time,
+    /// Answer times as thousandths of the usual one of their command group.
+    pace: Histogram,
+    /// Work sent lately: it leaks away over the span in which a cold host is judged.
+    sent: f64,
+    sent_at: Time,
+    seen: bool,
+}
+
+struct Dispatch {
+    node: usize,
+    sent: Time,
+    ended: Option<Ending>,
+    noted: bool,
+    work: Span,
+    serial: u32,
+}
+
+struct Command {
+    group: usize,
+    shard: Shard,
+    session: u64,
+    /// A session read must see all commits up to here.
+    must_see: Time,
+    taken: Time,
+    expiry: Time,
+    done: bool,
+    waiting: bool,
+    dispatches: Vec<Dispatch>,
+}
+
+impl Command {
+    fn out(&self) -> impl Iterator<Item = &Dispatch> {
+        self.dispatches.iter().filter(|d| d.ended.is_none())
+    }
+
+    /// The dispatches that ran, may have run or may still run.
+    fn maybe_ran(&self) -> impl Iterator<Item = &Dispatch> {
+        self.dispatches.iter().filter(|d| !d.ended.is_some_and(Ending::never_ran))
+    }
+}
+
+/// Where a command can go now.
+enum Way {
+    To(usize),
+    Wait,
+    Refused,
+}
+
+/// A taken command. All that happens to it after it was taken is a call on this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Handle(CommandId);
+
+pub struct Router {
+    deployment: Deployment,
+    chance: Chance,
+    beat: Span,
+    groups: BTreeMap<Shard, Group>,
+    nodes: Vec<Node>,
+    by_host: BTreeMap<Host, usize>,
+    commands: BTreeMap<CommandId, Command>,
+    /// Commands that wait for room: first dispatches, and behind them further ones.
+    first_line: Vec<CommandId>,
+    further_line: Vec<CommandId>,
+    further_saved: f64,
+    /// Answer times by command group.
+    took: Vec<Histogram>,
+    /// How old a primary's report of its position is: pure age, since a primary stands at the present.
+    report_age: Histogram,
+    /// The latest commit that each session was told of, where this router has to remember.
+    commits: BTreeMap<u64, Time>,
+    tightest: Span,
+    whole_list: bool,
+}
+
+impl Router {
+    pub fn start(deployment: Deployment, seed: u64, out: &mut dyn Outlet) -> Router {
+        let target = deployment.groups.iter().map(|g| g.target).min().unwrap_or(PROBE_EVERY);
+        let beat = deployment.beat.max(target / 16);
+        let bounds = deployment.groups.iter().filter_map(|g| match g.need {
+            Need::Bounded(bound) => Some(bound),
+            _ => None,
+        });
+        let tightest = bounds.min().unwrap_or(PROBE_EVERY);
+        let took = deployment.groups.iter().map(|g| Histogram::new(g.target / 64, 256)).collect();
+        if deployment.must_subscribe {
+            out.subscribe();
+        }
+        out.wake(beat);
+        Router {
+            chance: Chance::new(seed),
+            beat,
+            groups: BTreeMap::new(),
+            nodes: Vec::new(),
+            by_host: BTreeMap::new(),
+            commands: BTreeMap::new(),
+            first_line: Vec::new(),
+            further_line: Vec::new(),
+            further_saved: FURTHER_SAVED,
+            took,
+            report_age: Histogram::new(deployment.beat, 256),
+            commits: BTreeMap::new(),
+            tightest,
+            whole_list: false,
+            deployment,
+        }
+    }
+
+    pub fn deployment(&self) -> &Deployment {
+        &self.deployment
+    }
+
+    /// The handle of a command that was taken and still has something out or owed.
+    pub fn handle(&self, id: CommandId) -> Option<Handle> {
+        self.commands.contains_key(&id).then_some(Handle(id))
+    }
+
+    // ---- the list ----
+
+    pub fn list_starts(&mut self, whole: bool) {
+        self.whole_list = whole;
+        self.nodes.iter_mut().for_each(|node| node.seen = false);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn listed(
+        &mut self,
+        host: Host,
+        zone: u8,
+        shard: Shard,
+        lifecycle: Lifecycle,
+        heads: bool,
+        power: f64,
+        started: Option<Time>,
+        out: &mut dyn Outlet,
+    ) {
+        let now = out.now();
+        let i = self.node_of(host, shard, now);
+        let node = &mut self.nodes[i];
+        node.zone = zone;
+        node.power = power.max(f64::MIN_POSITIVE);
+        node.seen = true;
+        if lifecycle == Lifecycle::Ready {
+            node.leaving = None;
+        } else if lifecycle == Lifecycle::Draining || !self.deployment.gone_is_advice {
+            node.leaving.get_or_insert(now);
+        }
+        // A process that started anew holds no role and none of what was sent to it.
+        let restarted = started > node.started && node.heard < started.unwrap_or_default();
+        node.started = node.started.max(started);
+        let Some(group) = self.groups.get_mut(&shard) else { return };
+        let renamed = heads && group.listed != Some(i);
+        if heads {
+            group.listed = Some(i);
+        }
+        let believed = group.primary;
+        match believed {
+            None if heads && group.serial == 0 => group.primary = Some(i),
+            // The list is seconds late: a primary that has just answered as one outweighs it.
+            Some(p) if p != i && renamed && now - self.nodes[p].led > PROBE_EVERY => {
+                self.fail_over(shard, out)
+            }
+            Some(p) if p == i && (restarted || lifecycle == Lifecycle::Gone) => self.fail_over(shard, out),
+            _ => {}
+        }
+    }
+
+    pub fn list_ends(&mut self, out: &mut dyn Outlet) {
+        let now = out.now();
+        if self.whole_list && !self.deployment.gone_is_advice {
+            for node in self.nodes.iter_mut().filter(|node| !node.seen) {
+                node.leaving.get_or_insert(now);
+            }
+        }
+        self.probe_due(out);
+        self.serve_lines(out);
+    }
+
+    /// Asking for the list failed: it is asked for again.
+    pub fn list_failed(&mut self, out: &mut dyn Outlet) {
+        if self.deployment.must_subscribe {
+            out.subscribe();
+        }
+    }
+
+    fn node_of(&mut self, host: Host, shard: Shard, now: Time) -> usize {
+        if let Some(&i) = self.by_host.get(&host) {
+            return i;
+        }
+        let target = self.deployment.groups.iter().map(|g| g.target).min().unwrap_or(PROBE_EVERY);
+        let i = self.nodes.len();
+        self.by_host.insert(host, i);
+        self.nodes.push(Node {
+            host,
+            zone: 0,
+            shard,
+            power: 1.0,
+            leaving: None,
+            started: None,
+            role: None,
+            led: Time(0),
+            position: Time(0),
+            lag: Span(0),
+            lag_told: Time(0),
+            out: 0,
+            load: Span(0),
+            limit: target * 8,
+            limit_cut: Time(0),
+            heard: Time(0),
+            alive: now,
+            unheard: 0,
+            overdue: 0,
+            mute: false,
+            strikes: 0,
+            shunned: Time(0),
+            probe_failed: false,
+            probe_sent: None,
+            probe_next: now,
+            pace: Histogram::new(Span(250), 64),
+            sent: 0.0,
+            sent_at: now,
+            seen: true,
+        });
+        let group = self.groups.entry(shard).or_insert_with(|| Group {
+            primary: None,
+            listed: None,
+            serial: 0,
+            state: State::Healthy,
+            since: now,
+            noted: 0,
+            lost: 0,
+            nodes: Vec::new(),
+        });
+        group.nodes.push(i);
+        i
+    }
+
+    // ---- commands ----
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn take(
+        &mut self,
+        id: CommandId,
+        group: usize,
+        shard: Shard,
+        session: u64,
+        since_write: Option<Span>,
+        expires_in: Span,
+        out: &mut dyn Outlet,
+    ) -> Handle {
+        let now = out.now();
+        let told = match self.deployment.tokens_carried {
+            true => since_write.map(|since| now - since),
+            false => self.commits.get(&session).copied(),
+        };
+        let command = Command {
+            group,
+            shard,
+            session,
+            must_see: told.unwrap_or_default(),
+            taken: now,
+            expiry: now + expires_in,
+            done: false,
+            waiting: false,
+            dispatches: Vec::new(),
+        };
+        self.commands.insert(id, command);
+        self.further_saved = (self.further_saved + FURTHER_SHARE).min(FURTHER_SAVED);
+        self.place(id, out);
+        Handle(id)
+    }
+
+    /// Sends a command on its way, puts it into its line, or gives it up.
+    fn place(&mut self, id: CommandId, out: &mut dyn Outlet) {
+        let Some(command) = self.commands.get(&id) else { return };
+        let first = command.dispatches.is_empty();
+        match self.way(id, out.now()) {
+            Way::To(i) if first || self.further_saved >= 1.0 => self.send(id, i, out),
+            Way::Refused => self.give_up(id, out),
+            _ => {
+                let command = self.commands.get_mut(&id).expect("looked up above");
+                if !command.waiting {
+                    command.waiting = true;
+                    let worth = self.worth(id);
+                    let line = if first { &self.first_line } else { &self.further_line };
+                    let at = line.partition_point(|other| self.worth(*other) >= worth);
+                    let line = if first { &mut self.first_line } else { &mut self.further_line };
+                    line.insert(at, id);
+                }
+            }
+        }
+    }
+
+    /// Benefit for the work: what is served first, and given up last.
+    fn worth(&self, id: CommandId) -> f64 {
+        let Some(command) = self.commands.get(&id) else { return 0.0 };
+        let group = &self.deployment.groups[command.group];
+        group.benefit / self.work(command.group).over(group.target).max(1e-3) / group.target.0 as f64
+    }
+
+    fn serve_lines(&mut self, out: &mut dyn Outlet) {
+        for further in [false, true] {
+            let line = std::mem::take(if further { &mut self.further_line } else { &mut self.first_line });
+            let mut stuck: Vec<(usize, Shard)> = Vec::new();
+            let mut left = Vec::with_capacity(line.len());
+            for id in line {
+                let Some(command) = self.commands.get(&id) else { continue };
+                let kind = (command.group, command.shard);
+                if command.done || !command.waiting {
+                    continue;
+                }
+                if stuck.contains(&kind) || (further && self.further_saved < 1.0) {
+                    left.push(id);
+                    continue;
+                }
+                match self.way(id, out.now()) {
+                    Way::To(i) => self.send(id, i, out),
+                    Way::Refused => self.give_up(id, out),
+                    Way::Wait => {
+                        stuck.push(kind);
+                        left.push(id);
+                    }
+                }
+            }
+            let line = if further { &mut self.further_line } else { &mut self.first_line };
+            left.append(line);
+            *line = left;
+        }
+    }
+
+    fn send(&mut self, id: CommandId, i: usize, out: &mut dyn Outlet) {
+        let now = out.now();
+        let Some(command) = self.commands.get(&id) else { return };
+        let work = self.work(command.group);
+        let serial = self.groups[&command.shard].serial;
+        let command = self.commands.get_mut(&id).expect("looked up above");
+        if !command.dispatches.is_empty() {
+            self.further_saved -= 1.0;
+        }
+        command.waiting = false;
+        command.dispatches.push(Dispatch { node: i, sent: now, ended: None, noted: false, work, serial });
+        let time_out = command.expiry - now;
+        let node = &mut self.nodes[i];
+        node.out += 1;
+        node.load += work;
+        node.sent = node.sent_lately(now, self.deployment.fall_span) + work.0 as f64;
+        node.sent_at = now;
+        if node.mute {
+            node.shunned = now + SILENCE / 4;
+        }
+        out.dispatch(id, node.host, time_out);
+    }
+
+    /// The final answer of a command that gets no further.
+    fn give_up(&mut self, id: CommandId, out: &mut dyn Outlet) {
+        let Some(command) = self.commands.get_mut(&id) else { return };
+        if command.done {
+            return;
+        }
+        command.done = true;
+        command.waiting = false;
+        let group = &self.deployment.groups[command.group];
+        let harmless = group.effect == Effect::Replayable
+            || command.maybe_ran().next().is_none()
+            || (group.effect == Effect::Keyed && group.reach == Reach::Everywhere);
+        if harmless {
+            let failing = self.groups.get(&command.shard).is_some_and(|g| g.state != State::Healthy);
+            let after = if failing { PROBE_EVERY } else { group.target };
+            out.throttle(id, self.deployment.longest_retry_after.map(|longest| after.min(longest)));
+        } else {
+            out.fail(id);
+        }
+        self.call_off(id, out);
+    }
+
+    /// Withdraws what is still out of a finished command, and forgets it once nothing is.
+    fn call_off(&mut self, id: CommandId, out: &mut dyn Outlet) {
+        let Some(command) = self.commands.get(&id) else { return };
+        let mut any = false;
+        for (nth, dispatch) in command.dispatches.iter().enumerate() {
+            if dispatch.ended.is_none() {
+                any = true;
+                if self.deployment.may_cancel {
+                    out.cancel(id, nth as u16);
+                }
+            }
+        }
+        if !any {
+            self.commands.remove(&id);
+        }
+    }
+
+    // ---- choosing a host ----
+
+    fn way(&mut self, id: CommandId, now: Time) -> Way {
+        let command = &self.commands[&id];
+        let Some(group) = self.groups.get(&command.shard) else { return Way::Wait };
+        let kind = &self.deployment.groups[command.group];
+        let work = self.work(command.group);
+        if matches!(kind.need, Need::Write | Need::Fresh) {
+            let may_have_run = command.maybe_ran().next().is_some();
+            return match group.primary {
+                // A fresh router that the list names no primary to probes first.
+                None if group.serial == 0 => Way::Wait,
+                Some(p) if group.state != State::Failover && self.serves(p, group, now) => {
+                    if self.has_room(p, work, now) && self.may_send(command, kind, p, now) {
+                        Way::To(p)
+                    } else {
+                        Way::Wait
+                    }
+                }
+                // Beyond the design: a keyed command that may have run waits for the next primary while its
+                // repeat is still dropped; a throttle is forbidden and a failure would lose it.
+                _ if may_have_run && kind.effect != Effect::Mutating => Way::Wait,
+                _ => Way::Refused,
+            };
+        }
+        let mut drawn: Vec<(usize, f64)> = Vec::new();
+        let mut fresh_but_full = false;
+        let mut freshest: Option<usize> = None;
+        for &i in &group.nodes {
+            if group.primary == Some(i) || !self.usable(i, now) || !self.may_send(command, kind, i, now) {
+                continue;
+            }
+            if command.dispatches.iter().any(|d| d.node == i) {
+                continue;
+            }
+            let roomy = self.has_room(i, work, now);
+            if roomy && freshest.is_none_or(|f| self.nodes[f].position < self.nodes[i].position) {
+                freshest = Some(i);
+            }
+            if !self.fresh_enough(i, kind.need, command.must_see, now) {
+                continue;
+            }
+            if roomy {
+                drawn.push((i, self.weight(i, now)));
+            } else {
+                fresh_but_full = true;
+            }
+        }
+        // Beyond the design: a read that takes data of any age spares the replicas that bounded reads can use.
+        if kind.need == Need::Any {
+            let stale = |i: usize| !self.fresh_enough(i, Need::Bounded(self.tightest), Time(0), now);
+            if drawn.iter().any(|(i, _)| stale(*i)) {
+                drawn.retain(|(i, _)| stale(*i));
+            }
+        }
+        let whole: f64 = drawn.iter().map(|(_, weight)| weight).sum();
+        let mut at = self.chance.below(whole);
+        for (i, weight) in &drawn {
+            at -= weight;
+            if at < 0.0 {
+                return Way::To(*i);
+            }
+        }
+        if let Some((i, _)) = drawn.last() {
+            return Way::To(*i);
+        }
+        let command = &self.commands[&id];
+        let group = &self.groups[&command.shard];
+        let kind = &self.deployment.groups[command.group];
+        if !fresh_but_full
+            && self.deployment.guards != Guards::Off
+            && kind.need != Need::Any
+            && let Some(i) = freshest.filter(|i| !self.nodes[*i].shuns_reads(kind.need, now))
+        {
+            return Way::To(i);
+        }
+        // No replica will do: the primary, whose own commands keep half of its room.
+        match group.primary {
+            Some(p)
+                if self.usable(p, now)
+                    && group.state != State::Failover
+                    && self.nodes[p].role != Some(Role::Replica)
+                    && self.nodes[p].load + work <= self.nodes[p].limit / 2
+                    && self.has_room(p, work, now)
+                    && self.may_send(command, kind, p, now) =>
+            {
+                Way::To(p)
+            }
+            _ => Way::Wait,
+        }
+    }
+
+    /// Whether the believed primary may get what only it can do.
+    fn serves(&self, p: usize, group: &Group, now: Time) -> bool {
+        let node = &self.nodes[p];
+        if node.leaving.is_some_and(|told| now - told > self.deployment.drain_grace / 2) {
+            return false;
+        }
+        match group.state {
+            State::Healthy => node.role != Some(Role::Replica),
+            // Requests go on as long as probes answer. Beyond the design: not to a host that answers probes
+            // and no commands, but for one command now and then that tries it.
+            State::Unhealthy => !node.probe_failed && now >= node.shunned,
+            State::Failover => false,
+        }
+    }
+
+    /// Whether a host's health allows reads to be sent there.
+    fn usable(&self, i: usize, now: Time) -> bool {
+        let node = &self.nodes[i];
+        node.leaving.is_none() && !node.probe_failed && now >= node.shunned
+    }
+
+    /// Whether the rules allow this command one more dispatch, to this host.
+    fn may_send(&self, command: &Command, kind: &CommandGroup, i: usize, now: Time) -> bool {
+        if command.dispatches.is_empty() {
+            return true;
+        }
+        if command.dispatches.len() >= self.deployment.max_dispatches
+            || (command.out().next().is_some() && !self.deployment.second_copies)
+        {
+            return false;
+        }
+        let node = &self.nodes[i];
+        match kind.effect {
+            Effect::Replayable => true,
+            Effect::Mutating => command.maybe_ran().next().is_none(),
+            // A repeat must reach the host while the first is remembered: the way there may take a connection.
+            Effect::Keyed => command.maybe_ran().all(|ran| {
+                let same = match kind.reach {
+                    Reach::Everywhere => true,
+                    Reach::Zone => self.nodes[ran.node].zone == node.zone,
+                    Reach::Shard => self.nodes[ran.node].shard == node.shard,
+                };
+                same && now + self.deployment.connect_timeout + self.beat < ran.sent + kind.remembered
+            }),
+        }
+    }
+
+    fn fresh_enough(&self, i: usize, need: Need, must_see: Time, now: Time) -> bool {
+        let node = &self.nodes[i];
+        match need {
+            Need::Any => true,
+            Need::Session => node.position >= must_see,
+            // Beyond the design: where replicas check, a position counts as having kept pace since it was told.
+            Need::Bounded(bound) if self.deployment.guards != Guards::Off => {
+                node.lag <= bound / 2 && now - node.lag_told <= PROBE_EVERY * 2
+            }
+            Need::Bounded(bound) => now - node.position <= bound - bound / MARGIN,
+            Need::Write | Need::Fresh => false,
+        }
+    }
+
+    /// The share of a host's power that it surely has by now, if it started lately.
+    fn warmth(&self, i: usize, now: Time) -> f64 {
+        self.nodes[i].started.map_or(1.0, |started| {
+            let passed = (now - started).over(self.deployment.warm_within).min(1.0);
+            self.deployment.cold_from + (1.0 - self.deployment.cold_from) * passed
+        })
+    }
+
+    /// The draw is even among equals: a host's part is its power, less what it lacks of warmth and of pace.
+    fn weight(&self, i: usize, now: Time) -> f64 {
+        let node = &self.nodes[i];
+        let pace = node.pace.quantile(0.5).map_or(1.0, |p| (p.0 as f64 / 1000.0).max(1.0));
+        node.power * self.warmth(i, now) / (pace * pace)
+    }
+
+    /// Whether a host can take this much more work and answer it in time, and is not pushed over by it.
+    fn has_room(&self, i: usize, work: Span, now: Time) -> bool {
+        let node = &self.nodes[i];
+        if node.out > 0 && node.load + work > node.limit {
+            return false;
+        }
+        let warmth = self.warmth(i, now);
+        if warmth >= 1.0 {
+            return true;
+        }
+        // A cold host gets no more than this router's part of what the ramp surely allows: as much for its
+        // power as warm hosts get from here, or what one core of it could do, shared among all routers.
+        let fall = self.deployment.fall_span;
+        let warm =
+            self.nodes.iter().enumerate().filter(|(j, n)| n.leaving.is_none() && self.warmth(*j, now) >= 1.0);
+        let (sent, power) =
+            warm.fold((0.0, 0.0), |(sent, power), (_, n)| (sent + n.sent_lately(now, fall), power + n.power));
+        let peers = if power > 0.0 { sent / power * node.power } else { 0.0 };
+        let alone = fall.0 as f64 / f64::from(self.deployment.routers);
+        let budget = self.deployment.fall_multiple * warmth * (peers * 0.6).max(alone);
+        node.sent_lately(now, fall) + work.0 as f64 <= budget
+    }
+
+    /// The work of a command group's usual command, as seen from here.
+    fn work(&self, group: usize) -> Span {
+        self.took[group].quantile(0.3).unwrap_or(self.deployment.groups[group].target / 8)
+    }
+
+    fn usual(&self, group: usize) -> Span {
+        self.took[group].quantile(0.5).unwrap_or(self.deployment.groups[group].target / 4)
+    }
+
+    // ---- what comes back ----
+
+    pub fn probed(&mut self, host: Host, _took: Span, ending: Ending, told: Standing, out: &mut dyn Outlet) {
+        let now = out.now();
+        let Some(&i) = self.by_host.get(&host) else { return };
+        let sent = self.nodes[i].probe_sent.take().unwrap_or(now);
+        let node = &mut self.nodes[i];
+        if ending == Ending::Answered {
+            // A host that could not be reached and now can has most likely started anew: it is cold.
+            if node.probe_failed && node.strikes > 1 {
+                node.started = node.started.max(Some(now));
+            }
+            node.probe_failed = false;
+            node.alive = now;
+            if !node.mute {
+                node.strikes = 0;
+                node.shunned = node.shunned.min(now);
+            }
+        } else if node.alive < sent {
+            node.probe_failed = true;
+            node.strikes += 1;
+        }
+        self.learn(i, told, None, out);
+        self.serve_lines(out);
+    }
+
+    /// Takes in what a host's report, and the note of its answer, say.
+    fn learn(&mut self, i: usize, told: Standing, noted: Option<Standing>, out: &mut dyn Outlet) {
+        let now = out.now();
+        let node = &mut self.nodes[i];
+        if let Some(position) = told.position {
+            node.position = node.position.max(position);
+            if told.role == Some(Role::Primary) {
+                self.report_age.add(now - position);
+            }
+            let age = self.report_age.quantile(0.5).unwrap_or_default();
+            node.lag = (now - position) - age;
+            node.lag_told = now;
+        }
+        if let Some(role) = noted.and_then(|n| n.role).or(told.role) {
+            node.role = Some(role);
+            let position = node.position;
+            match role {
+                Role::Primary => self.leads(i, position, noted.is_some(), out),
+                Role::Replica => {
+                    let group = &self.groups[&self.nodes[i].shard];
+                    if group.primary == Some(i) && group.state != State::Failover {
+                        self.fail_over(self.nodes[i].shard, out);
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- the states of a group ----
+
+    /// A member answered as primary.
+    fn leads(&mut self, i: usize, position: Time, to_command: bool, out: &mut dyn Outlet) {
+        let now = out.now();
+        let shard = self.nodes[i].shard;
+        let group = &self.groups[&shard];
+        let node = &self.nodes[i];
+        if group.primary == Some(i) {
+            // Failover ends with evidence newer than it: a report made earlier tells of the time before.
+            let newer = to_command || (position > group.since && !node.mute);
+            let back = match group.state {
+                State::Healthy => true,
+                State::Unhealthy => to_command || !node.mute,
+                State::Failover => newer,
+            };
+            if back {
+                let node = &mut self.nodes[i];
+                node.led = now;
+                let group = self.groups.get_mut(&shard).expect("known shard");
+                if group.state != State::Healthy {
+                    group.state = State::Healthy;
+                    group.since = now;
+                    self.serve_lines(out);
+                }
+            }
+            return;
+        }
+        // Two claim the role: the one whose data are newer took over.
+        let believed = group.primary.map(|p| self.nodes[p].position).unwrap_or_default();
+        if group.primary.is_some() && position <= believed && !to_command {
+            return;
+        }
+        if group.primary.is_some() && group.state != State::Failover {
+            self.fail_over(shard, out);
+        }
+        self.nodes[i].led = now;
+        let group = self.groups.get_mut(&shard).expect("known shard");
+        group.primary = Some(i);
+        group.state = State::Healthy;
+        group.since = now;
+        self.serve_lines(out);
+    }
+
+    /// Healthy to Unhealthy: something went wrong at the believed primary.
+    fn doubt(&mut self, i: usize, now: Time) {
+        let shard = self.nodes[i].shard;
+        let group = self.groups.get_mut(&shard).expect("known shard");
+        if group.primary != Some(i) || group.state != State::Healthy {
+            return;
+        }
+        group.state = State::Unhealthy;
+        group.since = now;
+        group.noted = 0;
+        group.lost = 0;
+        for command in self.commands.values_mut() {
+            for dispatch in command.dispatches.iter_mut().filter(|d| d.node == i) {
+                dispatch.noted = dispatch.ended.is_none();
+                group.noted += u32::from(dispatch.noted);
+            }
+        }
+        self.nodes[i].probe_next = now;
+    }
+
+    /// To Failover: the serial is bumped, idle connections to the old primary are closed and unsent writes
+    /// are refused.
+    fn fail_over(&mut self, shard: Shard, out: &mut dyn Outlet) {
+        let now = out.now();
+        let group = self.groups.get_mut(&shard).expect("known shard");
+        if group.state == State::Failover {
+            return;
+        }
+        group.state = State::Failover;
+        group.since = now;
+        group.serial += 1;
+        let old = group.primary;
+        for &i in &group.nodes {
+            self.nodes[i].probe_next = self.nodes[i].probe_next.min(now);
+        }
+        if let Some(p) = old {
+            out.close_idle(self.nodes[p].host);
+            // A mutating write left with a host that answers no commands may have run: it is failed.
+            if self.nodes[p].mute || self.nodes[p].probe_failed {
+                let left = self.commands.iter().filter(|(_, c)| {
+                    c.shard == shard
+                        && !c.done
+                        && self.deployment.groups[c.group].effect == Effect::Mutating
+                        && c.out().any(|d| d.node == p)
+                });
+                let left: Vec<CommandId> = left.map(|(id, _)| *id).collect();
+                left.into_iter().for_each(|id| self.give_up(id, out));
+            }
+        }
+        self.probe_due(out);
+        self.serve_lines(out);
+    }
+
+    // ---- the passing of time ----
+
+    pub fn woken(&mut self, out: &mut dyn Outlet) {
+        let now = out.now();
+        out.wake(self.beat);
+        self.mark_overdue(now);
+        for shard in self.groups.keys().copied().collect::<Vec<_>>() {
+            self.watch(shard, out);
+        }
+        self.probe_due(out);
+        for id in self.commands.keys().copied().collect::<Vec<_>>() {
+            self.review(id, out);
+        }
+        self.serve_lines(out);
+    }
+
+    /// Finds the hosts that take commands and answer none. It guards against hangs, one-way links and hosts
+    /// so slow that waiting is lost, whether or not they answer probes; a burst of long commands at a host
+    /// that gets little can look the same, and costs it half a second.
+    fn mark_overdue(&mut self, now: Time) {
+        self.nodes.iter_mut().for_each(|node| node.overdue = 0);
+        let patience: Vec<Span> = (0..self.took.len())
+            .map(|g| self.usual(g).scaled(OVERDUE).max(self.deployment.groups[g].target / 2))
+            .collect();
+        for command in self.commands.values() {
+            for dispatch in command.out() {
+                let node = &mut self.nodes[dispatch.node];
+                if node.heard <= dispatch.sent && now - dispatch.sent > patience[command.group] {
+                    node.overdue += 1;
+                }
+            }
+        }
+        for i in 0..self.nodes.len() {
+            let node = &mut self.nodes[i];
+            let mute = node.overdue + node.unheard >= MUTE_AFTER;
+            if mute && !node.mute {
+                node.shunned = node.shunned.max(now + SILENCE / 4);
+                node.mute = true;
+                self.doubt(i, now);
+            } else if !mute && node.unheard == 0 && node.heard >= node.shunned - SILENCE / 4 {
+                node.mute = false;
+            }
+        }
+    }
+
+    /// Moves a group on by time alone.
+    fn watch(&mut self, shard: Shard, out: &mut dyn Outlet) {
+        let now = out.now();
+        let group = &self.groups[&shard];
+        let Some(p) = group.primary else { return };
+        let node = &self.nodes[p];
+        let answers = !node.probe_failed && !node.mute;
+        let lost = node.mute || f64::from(group.lost) >= LOST_SHARE * f64::from(group.noted);
+        let leaving = node.leaving.is_some_and(|told| now - told > self.deployment.drain_grace / 2);
+        match group.state {
+            State::Healthy if leaving => self.fail_over(shard, out),
+            State::Healthy if now - node.alive > SILENCE => self.doubt(p, now),
+            State::Unhealthy if !answers && lost && now - group.since > STAGED => self.fail_over(shard, out),
+            _ => {}
+        }
+    }
+
+    fn probe_due(&mut self, out: &mut dyn Outlet) {
+        if !self.deployment.may_probe {
+            return;
+        }
+        let now = out.now();
+        for i in 0..self.nodes.len() {
+            let group = &self.groups[&self.nodes[i].shard];
+            let node = &self.nodes[i];
+            if node.probe_sent.is_some() || now < node.probe_next || (node.leaving.is_some() && node.out == 0)
+            {
+                continue;
+            }
+            let leaving = group.primary.is_some_and(|p| self.nodes[p].leaving.is_some());
+            let hurried = group.state != State::Healthy || leaving || group.primary.is_none() || node.mute;
+            let period =
+                if hurried { PROBE_EVERY / 4 } else { PROBE_EVERY.min(self.tightest.max(PROBE_EVERY / 5)) };
+            let node = &mut self.nodes[i];
+            node.probe_next = now + period;
+            // An answer that carried a report is as good as a probe.
+            if !hurried && now - node.lag_told < period && now - node.alive < period {
+                continue;
+            }
+            node.probe_sent = Some(now);
+            out.probe(node.host);
+        }
+    }
+
+    /// Looks a command over: gives it up when its time has run out, sends a second copy when its dispatch
+    /// is overdue or its host has lost its role.
+    fn review(&mut self, id: CommandId, out: &mut dyn Outlet) {
+        let now = out.now();
+        let Some(command) = self.commands.get(&id) else { return };
+        if command.done {
+            return;
+        }
+        let kind = &self.deployment.groups[command.group];
+        let usual = self.usual(command.group);
+        if now + self.beat >= command.expiry {
+            return self.give_up(id, out);
+        }
+        let Some(one) = command.out().next() else {
+            // In line: a command that could only be late is given up while a retry can still be of use.
+            let in_hand = if command.maybe_ran().next().is_some() { kind.timeout } else { kind.target };
+            if command.taken + in_hand < now + usual {
+                self.give_up(id, out);
+            }
+            return;
+        };
+        if command.waiting || command.out().nth(1).is_some() {
+            return;
+        }
+        let node = &self.nodes[one.node];
+        let moved = kind.effect == Effect::Keyed
+            && one.serial != self.groups[&command.shard].serial
+            && self.groups[&command.shard].state == State::Healthy;
+        let slow =
+            self.took[command.group].quantile(0.95).unwrap_or(kind.target).min(kind.target.scaled(0.4));
+        let hedged = kind.effect == Effect::Replayable
+            && self.deployment.second_copies
+            && (node.mute || node.probe_failed || now - one.sent > slow.max(usual))
+            && self.further_saved > FURTHER_SAVED / 2.0
+            && now < command.taken + kind.target;
+        if (moved || hedged)
+            && let Way::To(i) = self.way(id, now)
+        {
+            self.send(id, i, out);
+        }
+    }
+}
+
+impl Node {
+    fn sent_lately(&self, now: Time, span: Span) -> f64 {
+        self.sent * (-(now - self.sent_at).over(span)).exp()
+    }
+
+    /// Whether it turned a read with this bound away since it was last told to be fresh enough.
+    fn shuns_reads(&self, need: Need, now: Time) -> bool {
+        matches!(need, Need::Bounded(bound) if self.lag > bound * 2 && now - self.lag_told < PROBE_EVERY)
+    }
+}
+
+impl Handle {
+    /// The client went away, or was told that time is up: nothing is owed any more.
+    pub fn left(self, router: &mut Router, out: &mut dyn Outlet) {
+        if let Some(command) = router.commands.get_mut(&self.0) {
+            command.done = true;
+            command.waiting = false;
+            router.call_off(self.0, out);
+        }
+    }
+
+    /// A dispatch ended. `over` says that the command is finished by this or was before; `noted` is what the
+    /// answer says of the host at that moment, `reported` what its last report says.
+    #[allow(clippy::too_many_arguments)]
+    pub fn dispatch_ended(
+        self,
+        router: &mut Router,
+        nth: u16,
+        ending: Ending,
+        over: bool,
+        noted: Standing,
+        reported: Standing,
+        out: &mut dyn Outlet,
+    ) {
+        let now = out.now();
+        let Some(command) = router.commands.get_mut(&self.0) else { return };
+        let Some(dispatch) = command.dispatches.get_mut(usize::from(nth)) else { return };
+        if dispatch.ended.is_some() {
+            return;
+        }
+        dispatch.ended = Some(ending);
+        let (i, took, work, noted_then) = (dispatch.node, now - dispatch.sent, dispatch.work, dispatch.noted);
+        let (sent, kind, shard, session) = (dispatch.sent, command.group, command.shard, command.session);
+        if over {
+            command.done = true;
+            command.waiting = false;
+        }
+        router.weigh(i, kind, ending, took, work, sent, now);
+        let lost = matches!(ending, Ending::Reset | Ending::TimedOut | Ending::NoConnection);
+        if lost {
+            router.doubt(i, now);
+            let group = router.groups.get_mut(&shard).expect("known shard");
+            group.lost += u32::from(noted_then);
+        }
+        if ending == Ending::Answered && noted.position.is_some() && !router.deployment.tokens_carried {
+            let commit = router.commits.entry(session).or_default();
+            *commit = noted.position.unwrap_or_default().max(*commit);
+        }
+        let need = router.deployment.groups[kind].need;
+        if ending == Ending::Miss
+            && need != Need::Write
+            && let Need::Bounded(bound) = need
+        {
+            router.nodes[i].lag = router.nodes[i].lag.max(bound * 4);
+            router.nodes[i].lag_told = now;
+        }
+        if noted.role == Some(Role::Primary) {
+            // It stood at the present when it answered, so at the least at the moment of the send.
+            let stood = noted.position.map_or(sent, |p| (p - Span(1000)).max(sent));
+            router.nodes[i].position = router.nodes[i].position.max(stood);
+        }
+        let answered = matches!(ending, Ending::Answered | Ending::Error | Ending::Full | Ending::Miss);
+        router.learn(i, reported, answered.then_some(noted), out);
+        if ending == Ending::Miss && need == Need::Write && router.groups[&shard].primary == Some(i) {
+            router.fail_over(shard, out);
+        }
+        let Some(command) = router.commands.get(&self.0) else { return };
+        if command.done {
+            router.call_off(self.0, out);
+        } else if command.out().next().is_none() && !command.waiting {
+            let may_repeat = router.may_send(command, &router.deployment.groups[kind], i, now);
+            if may_repeat && now + router.beat < command.expiry {
+                router.place(self.0, out);
+            } else {
+                router.give_up(self.0, out);
+            }
+        }
+        router.serve_lines(out);
+    }
+}
+
+impl Router {
+    /// Takes an ending in as evidence of a host's health, pace and room.
+    #[allow(clippy::too_many_arguments)]
+    fn weigh(
+        &mut self,
+        i: usize,
+        kind: usize,
+        ending: Ending,
+        took: Span,
+        work: Span,
+        sent: Time,
+        now: Time,
+    ) {
+        let usual = self.usual(kind);
+        let target = self.deployment.groups[kind].target;
+        let node = &mut self.nodes[i];
+        node.out -= 1;
+        node.load = node.load - work;
+        let mut late = false;
+        match ending {
+            Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
+                node.heard = now;
+                node.alive = now;
+                node.unheard = 0;
+                node.probe_failed = false;
+                if ending == Ending::Error {
+                    node.strikes += 1;
+                    if node.strikes > MUTE_AFTER {
+                        node.shunned = now + PROBE_EVERY / 4;
+                    }
+                } else {
+                    node.strikes = 0;
+                    node.shunned = node.shunned.min(now);
+                }
+            }
+            Ending::TimedOut | Ending::Cancelled => {
+                if node.heard <= sent && took > target / 2 {
+                    node.unheard += 1;
+                }
+                late = took > target;
+            }
+            Ending::NoConnection | Ending::Reset => {
+                node.strikes += 1;
+                let pause = self.deployment.connect_timeout * (1 << node.strikes.min(4));
+                node.shunned = now + pause;
+                node.probe_next = now;
+            }
+            Ending::Moot => {}
+        }
+        if ending == Ending::Answered {
+            self.took[kind].add(took);
+            node.pace.add(Span((took.over(usual) * 1000.0) as u64));
+            late = took > target.scaled(0.75) && usual < target / 2;
+            if !late && node.load > node.limit / 2 {
+                node.limit += work.scaled(0.05);
+            }
+        }
+        if (late || ending == Ending::Full) && now - node.limit_cut > target / 2 {
+            node.limit_cut = now;
+            node.limit = node.limit.min(node.load + work).scaled(0.85).max(work);
+        }
+    }
+}
