Give up at once what is too short to wait in line

Cause: a command that came in with less than one look-over left stood in line past its client timeout. It also holds for retries that come in with almost nothing left. It hurts only a command that a free host would have had within two look-overs, which no command group's work allows.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -353,10 +353,12 @@
     /// Sends a command on its way, puts it into its line, or gives it up.
     fn place(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let Some(command) = self.commands.get(&id) else { return };
-        let first = command.dispatches.is_empty();
+        let (first, ends) = (command.dispatches.is_empty(), command.expiry);
         match self.way(id, out.now()) {
             Way::To(i) if first || self.further_saved >= 1.0 => self.send(id, i, out),
             Way::Refused => self.give_up(id, out),
+            // Too short a time to wait in line: the next look at it could come after its client timeout.
+            _ if ends <= out.now() + self.beat * 2 => self.give_up(id, out),
             _ => {
                 let command = self.commands.get_mut(&id).expect("looked up above");
                 if !command.waiting {
