Cut a host's room only on a run of late answers

Late answers now count as a share of the last few. It may react later to a sudden queue, by a few answers.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -68,6 +68,8 @@
     load: Span,
     limit: Span,
     limit_cut: Time,
+    /// The share of late answers among the last few.
+    lateness: f64,
     /// The last answer to a command, and the last sign of life of any kind.
     heard: Time,
     alive: Time,
@@ -286,6 +288,7 @@
             load: Span(0),
             limit: target * 8,
             limit_cut: Time(0),
+            lateness: 0.0,
             heard: Time(0),
             alive: now,
             unheard: 0,
@@ -1100,12 +1103,14 @@
             node.pace.add(Span((took.over(usual) * 1000.0) as u64));
             late = took > target.scaled(0.75) && usual < target / 2;
             if !late && node.load > node.limit / 2 {
-                node.limit += work.scaled(0.05);
+                node.limit += work.scaled(0.1);
             }
         }
-        if (late || ending == Ending::Full) && now - node.limit_cut > target / 2 {
+        // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
+        node.lateness += (f64::from(u8::from(late)) - node.lateness) / 8.0;
+        if (late && node.lateness > 0.25 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
             node.limit_cut = now;
-            node.limit = node.limit.min(node.load + work).scaled(0.85).max(work);
+            node.limit = node.limit.min(node.load + work).scaled(0.85).max(work * 2);
         }
     }
 }
