Keep hosts' answers well inside the target in overload, and let their room recover

Room was cut only while the usual answer was fast, at three quarters of the target, and from what was in hand at that moment, so it either never shrank or never came back. Change: half the target counts as late, a run of it cuts the room from twice what is in hand, and a command leaves the line once four in five answers would be late for it. A group of naturally long commands near its target would keep room small for no reason.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -931,7 +931,7 @@
         let Some(one) = command.out().next() else {
             // In line: a command that could only be late is given up while a retry can still be of use.
             let in_hand = if command.maybe_ran().next().is_some() { kind.timeout } else { kind.target };
-            if command.taken + in_hand < now + usual {
+            if command.taken + in_hand < now + self.took[command.group].quantile(0.8).unwrap_or(usual) {
                 self.give_up(id, out);
             }
             return;
@@ -1101,16 +1101,16 @@
         if ending == Ending::Answered {
             self.took[kind].add(took);
             node.pace.add(Span((took.over(usual) * 1000.0) as u64));
-            late = took > target.scaled(0.75) && usual < target / 2;
+            late = took > target / 2;
             if !late && node.load > node.limit / 2 {
                 node.limit += work.scaled(0.1);
             }
         }
         // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
-        node.lateness += (f64::from(u8::from(late)) - node.lateness) / 8.0;
+        node.lateness += (f64::from(u8::from(late)) - node.lateness) / 16.0;
         if (late && node.lateness > 0.25 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
             node.limit_cut = now;
-            node.limit = node.limit.min(node.load + work).scaled(0.85).max(work * 2);
+            node.limit = node.limit.min((node.load + work) * 2).scaled(0.85).max(work * 2);
         }
     }
 }
