Never cut a host's room under half a response target of work

Reads may now fill three quarters of the primary's room. Many routers at one small host could together hold more than it answers in time.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -557,7 +557,7 @@
                 if self.usable(p, now)
                     && group.state != State::Failover
                     && self.nodes[p].role != Some(Role::Replica)
-                    && self.nodes[p].load + work <= self.nodes[p].limit / 2
+                    && self.nodes[p].load + work <= self.nodes[p].limit.scaled(0.75)
                     && self.has_room(p, work, now)
                     && self.may_send(command, kind, p, now) =>
             {
@@ -1110,7 +1110,7 @@
         node.lateness += (f64::from(u8::from(late)) - node.lateness) / 16.0;
         if (late && node.lateness > 0.25 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
             node.limit_cut = now;
-            node.limit = node.limit.min((node.load + work) * 2).scaled(0.85).max(work * 2);
+            node.limit = node.limit.min((node.load + work) * 2).scaled(0.85).max(target / 2);
         }
     }
 }
