--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -25,6 +25,8 @@
 const OVERDUE: f64 = 4.0;
 /// Overdue or timed-out dispatches without one answer that make a host mute.
 const MUTE_AFTER: u32 = 2;
+/// The part of a bound up to which a replica that checks reads itself is tried.
+const LAG_SHARE: f64 = 0.75;
 /// The part of a bound kept as a margin where only positions guard a read.
 const MARGIN: u64 = 32;
 
@@ -64,6 +66,9 @@
     /// How far behind it seemed when last told, and when that was.
     lag: Span,
     lag_told: Time,
+    /// Bounded reads it turned away in a row, and until when it gets no more of them.
+    misses: u32,
+    behind_until: Time,
     out: u32,
     load: Span,
     limit: Span,
@@ -284,6 +289,8 @@
             position: Time(0),
             lag: Span(0),
             lag_told: Time(0),
+            misses: 0,
+            behind_until: Time(0),
             out: 0,
             load: Span(0),
             limit: target * 8,
@@ -544,11 +551,8 @@
         let command = &self.commands[&id];
         let group = &self.groups[&command.shard];
         let kind = &self.deployment.groups[command.group];
-        if !fresh_but_full
-            && self.deployment.guards != Guards::Off
-            && kind.need != Need::Any
-            && let Some(i) = freshest.filter(|i| !self.nodes[*i].shuns_reads(kind.need, now))
-        {
+        // Beyond the design: not where the freshest would surely turn the read away.
+        if let Some(i) = freshest.filter(|i| !fresh_but_full && self.may_check(*i, kind.need, now)) {
             return Way::To(i);
         }
         // No replica will do: the primary, whose own commands keep half of its room.
@@ -621,13 +625,26 @@
             Need::Session => node.position >= must_see,
             // Beyond the design: where replicas check, a position counts as having kept pace since it was told.
             Need::Bounded(bound) if self.deployment.guards != Guards::Off => {
-                node.lag <= bound / 2 && now - node.lag_told <= PROBE_EVERY * 2
+                node.lag <= bound.scaled(LAG_SHARE)
+                    && now - node.lag_told <= PROBE_EVERY * 2
+                    && now >= node.behind_until
             }
             Need::Bounded(bound) => now - node.position <= bound - bound / MARGIN,
             Need::Write | Need::Fresh => false,
         }
     }
 
+    /// Whether a replica that checks reads itself may still pass this one, as far as is known.
+    fn may_check(&self, i: usize, need: Need, now: Time) -> bool {
+        let node = &self.nodes[i];
+        match need {
+            Need::Bounded(bound) => {
+                self.deployment.guards != Guards::Off && node.lag <= bound && now >= node.behind_until
+            }
+            _ => self.deployment.guards != Guards::Off,
+        }
+    }
+
     /// The share of a host's power that it surely has by now, if it started lately.
     fn warmth(&self, i: usize, now: Time) -> f64 {
         self.nodes[i].started.map_or(1.0, |started| {
@@ -962,11 +979,6 @@
     fn sent_lately(&self, now: Time, span: Span) -> f64 {
         self.sent * (-(now - self.sent_at).over(span)).exp()
     }
-
-    /// Whether it turned a read with this bound away since it was last told to be fresh enough.
-    fn shuns_reads(&self, need: Need, now: Time) -> bool {
-        matches!(need, Need::Bounded(bound) if self.lag > bound * 2 && now - self.lag_told < PROBE_EVERY)
-    }
 }
 
 impl Handle {
@@ -1017,12 +1029,16 @@
             *commit = noted.position.unwrap_or_default().max(*commit);
         }
         let need = router.deployment.groups[kind].need;
-        if ending == Ending::Miss
-            && need != Need::Write
-            && let Need::Bounded(bound) = need
-        {
-            router.nodes[i].lag = router.nodes[i].lag.max(bound * 4);
-            router.nodes[i].lag_told = now;
+        if let Need::Bounded(bound) = need {
+            // A replica that turns reads away is behind, whatever its reports say: it is left alone for longer
+            // each time. It guards against reports that are old or untrue.
+            let node = &mut router.nodes[i];
+            if ending == Ending::Miss {
+                node.misses += 1;
+                node.behind_until = now + PROBE_EVERY.min(bound * (1 << node.misses.min(6)));
+            } else if ending == Ending::Answered {
+                node.misses = 0;
+            }
         }
         if noted.role == Some(Role::Primary) {
             // It stood at the present when it answered, so at the least at the moment of the send.
