Send reads of any age to the replica furthest behind

It also holds for replicas that fall behind for other reasons: they keep useful work. It may crowd one replica with short reads of any age up to its room.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -530,11 +530,15 @@
                 fresh_but_full = true;
             }
         }
-        // Beyond the design: a read that takes data of any age spares the replicas that bounded reads can use.
+        // Beyond the design: a read that takes data of any age spares the replicas that bounded reads can use, and
+        // goes to the one furthest behind of the others. Long reads hold a replica's log up: spread evenly they
+        // would make every replica useless to bounded reads.
         if kind.need == Need::Any {
             let stale = |i: usize| !self.fresh_enough(i, Need::Bounded(self.tightest), Time(0), now);
-            if drawn.iter().any(|(i, _)| stale(*i)) {
-                drawn.retain(|(i, _)| stale(*i));
+            let stalest =
+                drawn.iter().map(|(i, _)| *i).filter(|i| stale(*i)).min_by_key(|i| self.nodes[*i].position);
+            if let Some(i) = stalest {
+                return Way::To(i);
             }
         }
         let whole: f64 = drawn.iter().map(|(_, weight)| weight).sum();
