Serve the newest waiting command of equal worth first, and cut room sooner

Room is now cut past 15% of late answers. An unlucky command near the end of the line is given up though older.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -375,7 +375,7 @@
                     command.waiting = true;
                     let worth = self.worth(id);
                     let line = if first { &self.first_line } else { &self.further_line };
-                    let at = line.partition_point(|other| self.worth(*other) >= worth);
+                    let at = line.partition_point(|other| self.worth(*other) > worth);
                     let line = if first { &mut self.first_line } else { &mut self.further_line };
                     line.insert(at, id);
                 }
@@ -1128,7 +1128,7 @@
         }
         // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
         node.lateness += (f64::from(u8::from(late)) - node.lateness) / 16.0;
-        if (late && node.lateness > 0.25 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
+        if (late && node.lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
             node.limit_cut = now;
             node.limit = node.limit.min((node.load + work) * 2).scaled(0.85).max(target / 2);
         }
