Give up a waiting command early and ask its client back within the target

Change: half the target in line at most, less the time four in five answers take; come back after an eighth. Clients that never retry lose what a longer wait won.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -457,7 +457,7 @@
             || (group.effect == Effect::Keyed && group.reach == Reach::Everywhere);
         if harmless {
             let failing = self.groups.get(&command.shard).is_some_and(|g| g.state != State::Healthy);
-            let after = if failing { PROBE_EVERY } else { group.target };
+            let after = if failing { PROBE_EVERY } else { group.target / 8 };
             out.throttle(id, self.deployment.longest_retry_after.map(|longest| after.min(longest)));
         } else {
             out.fail(id);
@@ -951,7 +951,7 @@
         }
         let Some(one) = command.out().next() else {
             // In line: a command that could only be late is given up while a retry can still be of use.
-            let in_hand = if command.maybe_ran().next().is_some() { kind.timeout } else { kind.target };
+            let in_hand = if command.maybe_ran().next().is_some() { kind.timeout } else { kind.target / 2 };
             if command.taken + in_hand < now + self.took[command.group].quantile(0.8).unwrap_or(usual) {
                 self.give_up(id, out);
             }
