Reckon a cold host's budget in mean work, and doubt small samples of it

Change: the mean answer time with a prior of a quarter of the target, misses taken off, two fifths of the peers' part. A cold host warms later, by work it did not get.

--- a/crates/comethitch/src/histogram.rs
+++ b/crates/comethitch/src/histogram.rs
@@ -43,6 +43,15 @@
         self.total
     }
 
+    pub fn mean(&self) -> Option<Span> {
+        let sum = (0..BINS).map(|bin| self.middle(bin).0 * u64::from(self.counts[bin])).sum::<u64>();
+        sum.checked_div(self.total.into()).map(Span)
+    }
+
+    fn middle(&self, bin: usize) -> Span {
+        self.lowest.scaled(2f64.powf((bin as f64 - 0.5) / 2.0))
+    }
+
     /// The middle of the bin below which this share of the values lies.
     pub fn quantile(&self, share: f64) -> Option<Span> {
         let wanted = share * f64::from(self.total);
@@ -50,7 +59,7 @@
         self.counts.iter().enumerate().find_map(|(bin, count)| {
             below += count;
             let reached = *count > 0 && f64::from(below) >= wanted;
-            reached.then(|| self.lowest.scaled(2f64.powf((bin as f64 - 0.5) / 2.0)))
+            reached.then(|| self.middle(bin))
         })
     }
 }
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -27,6 +27,9 @@
 const MUTE_AFTER: u32 = 2;
 /// The part of a bound up to which a replica that checks reads itself is tried.
 const LAG_SHARE: f64 = 0.75;
+/// The part of what warm hosts get, for their power, that a cold one's budget is reckoned from: what was sent
+/// leaks away faster than the window in which it counts, and commands vary.
+const COLD_SHARE: f64 = 0.4;
 /// The part of a bound kept as a margin where only positions guard a read.
 const MARGIN: u64 = 32;
 
@@ -423,7 +426,7 @@
     fn send(&mut self, id: CommandId, i: usize, out: &mut dyn Outlet) {
         let now = out.now();
         let Some(command) = self.commands.get(&id) else { return };
-        let work = self.work(command.group);
+        let (work, heft) = (self.work(command.group), self.heft(command.group));
         let serial = self.groups[&command.shard].serial;
         let command = self.commands.get_mut(&id).expect("looked up above");
         if !command.dispatches.is_empty() {
@@ -435,7 +438,7 @@
         let node = &mut self.nodes[i];
         node.out += 1;
         node.load += work;
-        node.sent = node.sent_lately(now, self.deployment.fall_span) + work.0 as f64;
+        node.sent = node.sent_lately(now, self.deployment.fall_span) + heft;
         node.sent_at = now;
         if node.mute {
             node.shunned = now + SILENCE / 4;
@@ -495,7 +498,7 @@
                 // A fresh router that the list names no primary to probes first.
                 None if group.serial == 0 => Way::Wait,
                 Some(p) if group.state != State::Failover && self.serves(p, group, now) => {
-                    if self.has_room(p, work, now) && self.may_send(command, kind, p, now) {
+                    if self.has_room(p, command.group, now) && self.may_send(command, kind, p, now) {
                         Way::To(p)
                     } else {
                         Way::Wait
@@ -517,7 +520,7 @@
             if command.dispatches.iter().any(|d| d.node == i) {
                 continue;
             }
-            let roomy = self.has_room(i, work, now);
+            let roomy = self.has_room(i, command.group, now);
             if roomy && freshest.is_none_or(|f| self.nodes[f].position < self.nodes[i].position) {
                 freshest = Some(i);
             }
@@ -566,7 +569,7 @@
                     && group.state != State::Failover
                     && self.nodes[p].role != Some(Role::Replica)
                     && self.nodes[p].load + work <= self.nodes[p].limit.scaled(0.75)
-                    && self.has_room(p, work, now)
+                    && self.has_room(p, command.group, now)
                     && self.may_send(command, kind, p, now) =>
             {
                 Way::To(p)
@@ -665,9 +668,9 @@
     }
 
     /// Whether a host can take this much more work and answer it in time, and is not pushed over by it.
-    fn has_room(&self, i: usize, work: Span, now: Time) -> bool {
+    fn has_room(&self, i: usize, group: usize, now: Time) -> bool {
         let node = &self.nodes[i];
-        if node.out > 0 && node.load + work > node.limit {
+        if node.out > 0 && node.load + self.work(group) > node.limit {
             return false;
         }
         let warmth = self.warmth(i, now);
@@ -683,8 +686,8 @@
             warm.fold((0.0, 0.0), |(sent, power), (_, n)| (sent + n.sent_lately(now, fall), power + n.power));
         let peers = if power > 0.0 { sent / power * node.power } else { 0.0 };
         let alone = fall.0 as f64 / f64::from(self.deployment.routers);
-        let budget = self.deployment.fall_multiple * warmth * (peers * 0.6).max(alone);
-        node.sent_lately(now, fall) + work.0 as f64 <= budget
+        let budget = self.deployment.fall_multiple * warmth * (peers * COLD_SHARE).max(alone);
+        node.sent_lately(now, fall) + self.heft(group) <= budget
     }
 
     /// The work of a command group's usual command, as seen from here.
@@ -692,6 +695,14 @@
         self.took[group].quantile(0.3).unwrap_or(self.deployment.groups[group].target / 8)
     }
 
+    /// The mean work of a command group's commands, queues counted in: the long ones are what pushes a cold
+    /// host over. The first answers are the short commands', so a quarter of the target stands beside them.
+    fn heft(&self, group: usize) -> f64 {
+        let (took, prior) = (&self.took[group], self.deployment.groups[group].target / 4);
+        let (mean, count) = (took.mean().unwrap_or(prior), f64::from(took.total()));
+        (mean.0 as f64 * count + prior.0 as f64 * 8.0) / (count + 8.0)
+    }
+
     fn usual(&self, group: usize) -> Span {
         self.took[group].quantile(0.5).unwrap_or(self.deployment.groups[group].target / 4)
     }
@@ -1084,6 +1095,9 @@
     ) {
         let usual = self.usual(kind);
         let target = self.deployment.groups[kind].target;
+        if ending.never_ran() && self.warmth(i, now) >= 1.0 {
+            self.nodes[i].sent = (self.nodes[i].sent - self.heft(kind)).max(0.0);
+        }
         let node = &mut self.nodes[i];
         node.out -= 1;
         node.load = node.load - work;
