--- a/crates/comethitch-adapter/src/session.rs
+++ b/crates/comethitch-adapter/src/session.rs
@@ -74,11 +74,7 @@
 }
 
 fn decide(
-    router: &mut Router,
-    code: u8,
-    record: Fields,
-    lists: &BTreeMap<u32, Vec<u8>>,
-    out: &mut Reply,
+    router: &mut Router, code: u8, record: Fields, lists: &BTreeMap<u32, Vec<u8>>, out: &mut Reply,
 ) -> Result<(), String> {
     match code {
         17 => {
@@ -101,8 +97,7 @@
         },
         20 => {
             let reported = router.deployment().reported(&report(record, 15)?);
-            let took = Span(record.u32(3)?.into());
-            router.probed(record.host(7)?, took, ending(record.u16(13)?)?, reported, out);
+            router.probed(record.host(7)?, ending(record.u16(13)?)?, reported, out);
         }
         22 => {
             let group = usize::from(record.u16(7)?);
--- a/crates/comethitch/src/histogram.rs
+++ b/crates/comethitch/src/histogram.rs
@@ -15,7 +15,7 @@
 /// assert!(took.quantile(0.5).unwrap() < Span(3_000));
 /// assert!(took.quantile(0.99).unwrap() > Span(60_000));
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Histogram {
     lowest: Span,
     full: u32,
--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -15,7 +15,7 @@
 pub use policy::{Handle, Router};
 
 /// A database host, as the caller names it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Host {
     pub address: [u8; 4],
     pub port: u16,
@@ -131,11 +131,9 @@
     pub max_dispatches: usize,
     pub longest_retry_after: Option<Span>,
     pub connect_timeout: Span,
-    pub answer_slack: Span,
     pub drain_grace: Span,
     pub gone_is_advice: bool,
     pub must_subscribe: bool,
-    pub must_ask: Span,
     pub cold_from: f64,
     pub warm_within: Span,
     pub fall_multiple: f64,
@@ -181,11 +179,9 @@
                 false => None,
             },
             connect_timeout: lines.span("permissions.connect_timeout_us")?,
-            answer_slack: lines.span("rules.answer_slack_us")?,
             drain_grace: lines.span("rules.drain_grace_us")?,
             gone_is_advice: lines.or("rules.gone_is_advice", false)?,
             must_subscribe: lines.text_or("membership_mode", "automatic") == "subscribe",
-            must_ask: Span(lines.or("rules.must_ask_in_us", 0)?),
             cold_from: lines.get("rules.cold_from")?,
             warm_within: lines.span("rules.warm_within_us")?,
             fall_multiple: lines.get("rules.fall_multiple")?,
@@ -252,10 +248,7 @@
     }
 
     fn command_group(
-        &self,
-        i: usize,
-        need: Option<&str>,
-        bound: Option<&str>,
+        &self, i: usize, need: Option<&str>, bound: Option<&str>,
     ) -> Result<CommandGroup, String> {
         let key = |field: &str| format!("classes.{i}.{field}");
         let bound = || -> Result<Span, String> {
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -1,9 +1,9 @@
 //! The decision module: every decision of the router is made in this file.
 //!
-//! A caller makes one [`Router`] for each instance with [`Router::start`], tells it of the list, of probes and
-//! of the passing time, and gives it commands with [`Router::take`]. That returns a [`Handle`]; what happens
-//! to the command later is a call on the handle. The interface, and the trait that carries acts out, stand in
-//! `lib.rs`. `docs/design.md` tells the mechanism; a comment that begins "Beyond the design" marks a departure.
+//! A caller makes one [`Router`] for each instance with [`Router::start`], tells it of the list, of probes
+//! and of the passing time, and gives it commands with [`Router::take`]. That returns a [`Handle`]; what
+//! happens to the command later is a call on the handle. The interface, and the trait that carries acts out,
+//! stand in `lib.rs`. `docs/design.md` tells the mechanism; "Beyond the design" marks each departure.
 
 use crate::chance::Chance;
 use crate::histogram::Histogram;
@@ -33,14 +33,16 @@
 /// The part of a bound kept as a margin where only positions guard a read.
 const MARGIN: u64 = 32;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
+    #[default]
     Healthy,
     Unhealthy,
     Failover,
 }
 
 /// One group of hosts: a primary and its replicas.
+#[derive(Default)]
 struct Group {
     primary: Option<usize>,
     listed: Option<usize>,
@@ -54,6 +56,7 @@
 }
 
 /// A database host as this router sees it.
+#[derive(Default)]
 struct Node {
     host: Host,
     zone: u8,
@@ -82,7 +85,6 @@
     heard: Time,
     alive: Time,
     unheard: u32,
-    overdue: u32,
     mute: bool,
     strikes: u32,
     shunned: Time,
@@ -97,6 +99,7 @@
     seen: bool,
 }
 
+#[derive(Clone, Copy)]
 struct Dispatch {
     node: usize,
     sent: Time,
@@ -106,6 +109,7 @@
     serial: u32,
 }
 
+#[derive(Default)]
 struct Command {
     group: usize,
     shard: Shard,
@@ -150,8 +154,7 @@
     by_host: BTreeMap<Host, usize>,
     commands: BTreeMap<CommandId, Command>,
     /// Commands that wait for room: first dispatches, and behind them further ones.
-    first_line: Vec<CommandId>,
-    further_line: Vec<CommandId>,
+    lines: [Vec<CommandId>; 2],
     further_saved: f64,
     /// Answer times by command group.
     took: Vec<Histogram>,
@@ -159,6 +162,8 @@
     report_age: Histogram,
     /// The latest commit that each session was told of, where this router has to remember.
     commits: BTreeMap<u64, Time>,
+    /// The shortest response target, and the tightest bound on the age of data.
+    target: Span,
     tightest: Span,
     whole_list: bool,
 }
@@ -167,11 +172,8 @@
     pub fn start(deployment: Deployment, seed: u64, out: &mut dyn Outlet) -> Router {
         let target = deployment.groups.iter().map(|g| g.target).min().unwrap_or(PROBE_EVERY);
         let beat = deployment.beat.max(target / 16);
-        let bounds = deployment.groups.iter().filter_map(|g| match g.need {
-            Need::Bounded(bound) => Some(bound),
-            _ => None,
-        });
-        let tightest = bounds.min().unwrap_or(PROBE_EVERY);
+        let bound = |g: &CommandGroup| if let Need::Bounded(bound) = g.need { Some(bound) } else { None };
+        let tightest = deployment.groups.iter().filter_map(bound).min().unwrap_or(PROBE_EVERY);
         let took = deployment.groups.iter().map(|g| Histogram::new(g.target / 64, 256)).collect();
         if deployment.must_subscribe {
             out.subscribe();
@@ -184,12 +186,12 @@
             nodes: Vec::new(),
             by_host: BTreeMap::new(),
             commands: BTreeMap::new(),
-            first_line: Vec::new(),
-            further_line: Vec::new(),
+            lines: Default::default(),
             further_saved: FURTHER_SAVED,
             took,
             report_age: Histogram::new(deployment.beat, 256),
             commits: BTreeMap::new(),
+            target,
             tightest,
             whole_list: false,
             deployment,
@@ -214,22 +216,13 @@
 
     #[allow(clippy::too_many_arguments)]
     pub fn listed(
-        &mut self,
-        host: Host,
-        zone: u8,
-        shard: Shard,
-        lifecycle: Lifecycle,
-        heads: bool,
-        power: f64,
-        started: Option<Time>,
-        out: &mut dyn Outlet,
+        &mut self, host: Host, zone: u8, shard: Shard, lifecycle: Lifecycle, heads: bool, power: f64,
+        started: Option<Time>, out: &mut dyn Outlet,
     ) {
         let now = out.now();
         let i = self.node_of(host, shard, now);
         let node = &mut self.nodes[i];
-        node.zone = zone;
-        node.power = power.max(f64::MIN_POSITIVE);
-        node.seen = true;
+        (node.zone, node.power, node.seen) = (zone, power.max(f64::MIN_POSITIVE), true);
         if lifecycle == Lifecycle::Ready {
             node.leaving = None;
         } else if lifecycle == Lifecycle::Draining || !self.deployment.gone_is_advice {
@@ -243,8 +236,7 @@
         if heads {
             group.listed = Some(i);
         }
-        let believed = group.primary;
-        match believed {
+        match group.primary {
             None if heads && group.serial == 0 => group.primary = Some(i),
             // The list is seconds late: a primary that has just answered as one outweighs it.
             Some(p) if p != i && renamed && now - self.nodes[p].led > PROBE_EVERY => {
@@ -277,54 +269,18 @@
         if let Some(&i) = self.by_host.get(&host) {
             return i;
         }
-        let target = self.deployment.groups.iter().map(|g| g.target).min().unwrap_or(PROBE_EVERY);
         let i = self.nodes.len();
         self.by_host.insert(host, i);
         self.nodes.push(Node {
             host,
-            zone: 0,
             shard,
-            power: 1.0,
-            leaving: None,
-            started: None,
-            role: None,
-            led: Time(0),
-            position: Time(0),
-            lag: Span(0),
-            lag_told: Time(0),
-            misses: 0,
-            behind_until: Time(0),
-            out: 0,
-            load: Span(0),
-            limit: target * 8,
-            limit_cut: Time(0),
-            lateness: 0.0,
-            heard: Time(0),
+            limit: self.target * 8,
             alive: now,
-            unheard: 0,
-            overdue: 0,
-            mute: false,
-            strikes: 0,
-            shunned: Time(0),
-            probe_failed: false,
-            probe_sent: None,
             probe_next: now,
             pace: Histogram::new(Span(250), 64),
-            sent: 0.0,
-            sent_at: now,
-            seen: true,
+            ..Node::default()
         });
-        let group = self.groups.entry(shard).or_insert_with(|| Group {
-            primary: None,
-            listed: None,
-            serial: 0,
-            state: State::Healthy,
-            since: now,
-            noted: 0,
-            lost: 0,
-            nodes: Vec::new(),
-        });
-        group.nodes.push(i);
+        self.groups.entry(shard).or_default().nodes.push(i);
         i
     }
 
@@ -332,31 +288,16 @@
 
     #[allow(clippy::too_many_arguments)]
     pub fn take(
-        &mut self,
-        id: CommandId,
-        group: usize,
-        shard: Shard,
-        session: u64,
-        since_write: Option<Span>,
-        expires_in: Span,
-        out: &mut dyn Outlet,
+        &mut self, id: CommandId, group: usize, shard: Shard, session: u64, since_write: Option<Span>,
+        expires_in: Span, out: &mut dyn Outlet,
     ) -> Handle {
         let now = out.now();
         let told = match self.deployment.tokens_carried {
             true => since_write.map(|since| now - since),
             false => self.commits.get(&session).copied(),
         };
-        let command = Command {
-            group,
-            shard,
-            session,
-            must_see: told.unwrap_or_default(),
-            taken: now,
-            expiry: now + expires_in,
-            done: false,
-            waiting: false,
-            dispatches: Vec::new(),
-        };
+        let (must_see, expiry) = (told.unwrap_or_default(), now + expires_in);
+        let command = Command { group, shard, session, must_see, taken: now, expiry, ..Command::default() };
         self.commands.insert(id, command);
         self.further_saved = (self.further_saved + FURTHER_SHARE).min(FURTHER_SAVED);
         self.place(id, out);
@@ -374,13 +315,11 @@
             _ if ends <= out.now() + self.beat * 2 => self.give_up(id, out),
             _ => {
                 let command = self.commands.get_mut(&id).expect("looked up above");
-                if !command.waiting {
-                    command.waiting = true;
-                    let worth = self.worth(id);
-                    let line = if first { &self.first_line } else { &self.further_line };
-                    let at = line.partition_point(|other| self.worth(*other) > worth);
-                    let line = if first { &mut self.first_line } else { &mut self.further_line };
-                    line.insert(at, id);
+                if !std::mem::replace(&mut command.waiting, true) {
+                    let (line, worth) = (usize::from(!first), self.worth(id));
+                    // The newest of equal worth first: in overload the oldest could only be late.
+                    let at = self.lines[line].partition_point(|other| self.worth(*other) > worth);
+                    self.lines[line].insert(at, id);
                 }
             }
         }
@@ -394,17 +333,14 @@
     }
 
     fn serve_lines(&mut self, out: &mut dyn Outlet) {
-        for further in [false, true] {
-            let line = std::mem::take(if further { &mut self.further_line } else { &mut self.first_line });
+        for further in 0..2 {
+            let line = std::mem::take(&mut self.lines[further]);
             let mut stuck: Vec<(usize, Shard)> = Vec::new();
             let mut left = Vec::with_capacity(line.len());
             for id in line {
-                let Some(command) = self.commands.get(&id) else { continue };
+                let Some(command) = self.commands.get(&id).filter(|c| c.waiting && !c.done) else { continue };
                 let kind = (command.group, command.shard);
-                if command.done || !command.waiting {
-                    continue;
-                }
-                if stuck.contains(&kind) || (further && self.further_saved < 1.0) {
+                if stuck.contains(&kind) || (further == 1 && self.further_saved < 1.0) {
                     left.push(id);
                     continue;
                 }
@@ -417,24 +353,22 @@
                     }
                 }
             }
-            let line = if further { &mut self.further_line } else { &mut self.first_line };
-            left.append(line);
-            *line = left;
+            left.append(&mut self.lines[further]);
+            self.lines[further] = left;
         }
     }
 
     fn send(&mut self, id: CommandId, i: usize, out: &mut dyn Outlet) {
         let now = out.now();
-        let Some(command) = self.commands.get(&id) else { return };
-        let (work, heft) = (self.work(command.group), self.heft(command.group));
-        let serial = self.groups[&command.shard].serial;
-        let command = self.commands.get_mut(&id).expect("looked up above");
+        let group = self.commands[&id].group;
+        let (work, heft) = (self.work(group), self.heft(group));
+        let command = self.commands.get_mut(&id).expect("a taken command");
+        let (serial, time_out) = (self.groups[&command.shard].serial, command.expiry - now);
         if !command.dispatches.is_empty() {
             self.further_saved -= 1.0;
         }
         command.waiting = false;
         command.dispatches.push(Dispatch { node: i, sent: now, ended: None, noted: false, work, serial });
-        let time_out = command.expiry - now;
         let node = &mut self.nodes[i];
         node.out += 1;
         node.load += work;
@@ -453,12 +387,12 @@
             return;
         }
         command.done = true;
-        command.waiting = false;
         let group = &self.deployment.groups[command.group];
         let harmless = group.effect == Effect::Replayable
             || command.maybe_ran().next().is_none()
             || (group.effect == Effect::Keyed && group.reach == Reach::Everywhere);
         if harmless {
+            // Back within the target if this was a lack of room: retries count with the first try.
             let failing = self.groups.get(&command.shard).is_some_and(|g| g.state != State::Healthy);
             let after = if failing { PROBE_EVERY } else { group.target / 8 };
             out.throttle(id, self.deployment.longest_retry_after.map(|longest| after.min(longest)));
@@ -471,16 +405,12 @@
     /// Withdraws what is still out of a finished command, and forgets it once nothing is.
     fn call_off(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let Some(command) = self.commands.get(&id) else { return };
-        let mut any = false;
-        for (nth, dispatch) in command.dispatches.iter().enumerate() {
-            if dispatch.ended.is_none() {
-                any = true;
-                if self.deployment.may_cancel {
-                    out.cancel(id, nth as u16);
-                }
+        for (nth, _) in command.dispatches.iter().enumerate().filter(|(_, d)| d.ended.is_none()) {
+            if self.deployment.may_cancel {
+                out.cancel(id, nth as u16);
             }
         }
-        if !any {
+        if command.out().next().is_none() {
             self.commands.remove(&id);
         }
     }
@@ -514,28 +444,26 @@
         let mut fresh_but_full = false;
         let mut freshest: Option<usize> = None;
         for &i in &group.nodes {
-            if group.primary == Some(i) || !self.usable(i, now) || !self.may_send(command, kind, i, now) {
-                continue;
-            }
-            if command.dispatches.iter().any(|d| d.node == i) {
+            let tried = command.dispatches.iter().any(|d| d.node == i);
+            if group.primary == Some(i)
+                || tried
+                || !self.usable(i, now)
+                || !self.may_send(command, kind, i, now)
+            {
                 continue;
             }
             let roomy = self.has_room(i, command.group, now);
             if roomy && freshest.is_none_or(|f| self.nodes[f].position < self.nodes[i].position) {
                 freshest = Some(i);
             }
-            if !self.fresh_enough(i, kind.need, command.must_see, now) {
-                continue;
-            }
-            if roomy {
+            let fresh = self.fresh_enough(i, kind.need, command.must_see, now);
+            fresh_but_full |= fresh && !roomy;
+            if fresh && roomy {
                 drawn.push((i, self.weight(i, now)));
-            } else {
-                fresh_but_full = true;
             }
         }
-        // Beyond the design: a read that takes data of any age spares the replicas that bounded reads can use, and
-        // goes to the one furthest behind of the others. Long reads hold a replica's log up: spread evenly they
-        // would make every replica useless to bounded reads.
+        // Beyond the design: a read of any age spares the replicas that bounded reads can use and goes to the
+        // one furthest behind. Long reads hold a replica's log up: spread evenly they would spoil them all.
         if kind.need == Need::Any {
             let stale = |i: usize| !self.fresh_enough(i, Need::Bounded(self.tightest), Time(0), now);
             let stalest =
@@ -544,38 +472,30 @@
                 return Way::To(i);
             }
         }
-        let whole: f64 = drawn.iter().map(|(_, weight)| weight).sum();
-        let mut at = self.chance.below(whole);
-        for (i, weight) in &drawn {
+        let mut at = self.chance.below(drawn.iter().map(|(_, weight)| weight).sum());
+        for (nth, (i, weight)) in drawn.iter().enumerate() {
             at -= weight;
-            if at < 0.0 {
+            if at < 0.0 || nth + 1 == drawn.len() {
                 return Way::To(*i);
             }
         }
-        if let Some((i, _)) = drawn.last() {
-            return Way::To(*i);
-        }
-        let command = &self.commands[&id];
-        let group = &self.groups[&command.shard];
+        let (command, group) = (&self.commands[&id], &self.groups[&self.commands[&id].shard]);
         let kind = &self.deployment.groups[command.group];
         // Beyond the design: not where the freshest would surely turn the read away.
         if let Some(i) = freshest.filter(|i| !fresh_but_full && self.may_check(*i, kind.need, now)) {
             return Way::To(i);
         }
-        // No replica will do: the primary, whose own commands keep half of its room.
-        match group.primary {
-            Some(p)
-                if self.usable(p, now)
-                    && group.state != State::Failover
-                    && self.nodes[p].role != Some(Role::Replica)
-                    && self.nodes[p].load + work <= self.nodes[p].limit.scaled(0.75)
-                    && self.has_room(p, command.group, now)
-                    && self.may_send(command, kind, p, now) =>
-            {
-                Way::To(p)
-            }
-            _ => Way::Wait,
-        }
+        // No replica will do: the primary, whose own commands keep a quarter of its room.
+        let spare = |p: usize| {
+            let node = &self.nodes[p];
+            group.state != State::Failover
+                && node.role != Some(Role::Replica)
+                && node.load + work <= node.limit.scaled(0.75)
+                && self.usable(p, now)
+                && self.has_room(p, command.group, now)
+                && self.may_send(command, kind, p, now)
+        };
+        group.primary.filter(|p| spare(*p)).map_or(Way::Wait, Way::To)
     }
 
     /// Whether the believed primary may get what only it can do.
@@ -613,7 +533,7 @@
         match kind.effect {
             Effect::Replayable => true,
             Effect::Mutating => command.maybe_ran().next().is_none(),
-            // A repeat must reach the host while the first is remembered: the way there may take a connection.
+            // A repeat must arrive while the first is remembered: the way there may take a connection.
             Effect::Keyed => command.maybe_ran().all(|ran| {
                 let same = match kind.reach {
                     Reach::Everywhere => true,
@@ -630,7 +550,7 @@
         match need {
             Need::Any => true,
             Need::Session => node.position >= must_see,
-            // Beyond the design: where replicas check, a position counts as having kept pace since it was told.
+            // Beyond the design: where replicas check, a position counts as having kept pace since then.
             Need::Bounded(bound) if self.deployment.guards != Guards::Off => {
                 node.lag <= bound.scaled(LAG_SHARE)
                     && now - node.lag_told <= PROBE_EVERY * 2
@@ -644,12 +564,8 @@
     /// Whether a replica that checks reads itself may still pass this one, as far as is known.
     fn may_check(&self, i: usize, need: Need, now: Time) -> bool {
         let node = &self.nodes[i];
-        match need {
-            Need::Bounded(bound) => {
-                self.deployment.guards != Guards::Off && node.lag <= bound && now >= node.behind_until
-            }
-            _ => self.deployment.guards != Guards::Off,
-        }
+        let behind = matches!(need, Need::Bounded(bound) if node.lag > bound || now < node.behind_until);
+        self.deployment.guards != Guards::Off && !behind
     }
 
     /// The share of a host's power that it surely has by now, if it started lately.
@@ -709,21 +625,19 @@
 
     // ---- what comes back ----
 
-    pub fn probed(&mut self, host: Host, _took: Span, ending: Ending, told: Standing, out: &mut dyn Outlet) {
+    pub fn probed(&mut self, host: Host, ending: Ending, told: Standing, out: &mut dyn Outlet) {
         let now = out.now();
         let Some(&i) = self.by_host.get(&host) else { return };
-        let sent = self.nodes[i].probe_sent.take().unwrap_or(now);
         let node = &mut self.nodes[i];
+        let sent = node.probe_sent.take().unwrap_or(now);
         if ending == Ending::Answered {
             // A host that could not be reached and now can has most likely started anew: it is cold.
             if node.probe_failed && node.strikes > 1 {
                 node.started = node.started.max(Some(now));
             }
-            node.probe_failed = false;
-            node.alive = now;
+            (node.probe_failed, node.alive) = (false, now);
             if !node.mute {
-                node.strikes = 0;
-                node.shunned = node.shunned.min(now);
+                (node.strikes, node.shunned) = (0, node.shunned.min(now));
             }
         } else if node.alive < sent {
             node.probe_failed = true;
@@ -746,18 +660,13 @@
             node.lag = (now - position) - age;
             node.lag_told = now;
         }
-        if let Some(role) = noted.and_then(|n| n.role).or(told.role) {
-            node.role = Some(role);
-            let position = node.position;
-            match role {
-                Role::Primary => self.leads(i, position, noted.is_some(), out),
-                Role::Replica => {
-                    let group = &self.groups[&self.nodes[i].shard];
-                    if group.primary == Some(i) && group.state != State::Failover {
-                        self.fail_over(self.nodes[i].shard, out);
-                    }
-                }
-            }
+        let (shard, position) = (node.shard, node.position);
+        let Some(role) = noted.and_then(|n| n.role).or(told.role) else { return };
+        node.role = Some(role);
+        if role == Role::Primary {
+            self.leads(i, position, noted.is_some(), out);
+        } else if self.groups[&shard].primary == Some(i) {
+            self.fail_over(shard, out);
         }
     }
 
@@ -766,43 +675,31 @@
     /// A member answered as primary.
     fn leads(&mut self, i: usize, position: Time, to_command: bool, out: &mut dyn Outlet) {
         let now = out.now();
-        let shard = self.nodes[i].shard;
+        let (shard, mute) = (self.nodes[i].shard, self.nodes[i].mute);
         let group = &self.groups[&shard];
-        let node = &self.nodes[i];
-        if group.primary == Some(i) {
-            // Failover ends with evidence newer than it: a report made earlier tells of the time before.
-            let newer = to_command || (position > group.since && !node.mute);
-            let back = match group.state {
+        let proven = if group.primary == Some(i) {
+            match group.state {
                 State::Healthy => true,
-                State::Unhealthy => to_command || !node.mute,
-                State::Failover => newer,
-            };
-            if back {
-                let node = &mut self.nodes[i];
-                node.led = now;
-                let group = self.groups.get_mut(&shard).expect("known shard");
-                if group.state != State::Healthy {
-                    group.state = State::Healthy;
-                    group.since = now;
-                    self.serve_lines(out);
-                }
+                State::Unhealthy => to_command || !mute,
+                // Failover ends with evidence newer than it: a report made earlier tells of the time before.
+                State::Failover => to_command || (position > group.since && !mute),
             }
+        } else {
+            // Two claim the role: the one whose data are newer took over.
+            group.primary.is_none_or(|p| to_command || position > self.nodes[p].position)
+        };
+        if !proven {
             return;
         }
-        // Two claim the role: the one whose data are newer took over.
-        let believed = group.primary.map(|p| self.nodes[p].position).unwrap_or_default();
-        if group.primary.is_some() && position <= believed && !to_command {
-            return;
-        }
-        if group.primary.is_some() && group.state != State::Failover {
+        if group.primary.is_some_and(|p| p != i) {
             self.fail_over(shard, out);
         }
         self.nodes[i].led = now;
         let group = self.groups.get_mut(&shard).expect("known shard");
-        group.primary = Some(i);
-        group.state = State::Healthy;
-        group.since = now;
-        self.serve_lines(out);
+        if group.state != State::Healthy || group.primary != Some(i) {
+            (group.primary, group.state, group.since) = (Some(i), State::Healthy, now);
+            self.serve_lines(out);
+        }
     }
 
     /// Healthy to Unhealthy: something went wrong at the believed primary.
@@ -812,10 +709,7 @@
         if group.primary != Some(i) || group.state != State::Healthy {
             return;
         }
-        group.state = State::Unhealthy;
-        group.since = now;
-        group.noted = 0;
-        group.lost = 0;
+        (group.state, group.since, group.noted, group.lost) = (State::Unhealthy, now, 0, 0);
         for command in self.commands.values_mut() {
             for dispatch in command.dispatches.iter_mut().filter(|d| d.node == i) {
                 dispatch.noted = dispatch.ended.is_none();
@@ -833,14 +727,12 @@
         if group.state == State::Failover {
             return;
         }
-        group.state = State::Failover;
-        group.since = now;
+        (group.state, group.since) = (State::Failover, now);
         group.serial += 1;
-        let old = group.primary;
         for &i in &group.nodes {
             self.nodes[i].probe_next = self.nodes[i].probe_next.min(now);
         }
-        if let Some(p) = old {
+        if let Some(p) = group.primary {
             out.close_idle(self.nodes[p].host);
             // A mutating write left with a host that answers no commands may have run: it is failed.
             if self.nodes[p].mute || self.nodes[p].probe_failed {
@@ -878,21 +770,19 @@
     /// so slow that waiting is lost, whether or not they answer probes; a burst of long commands at a host
     /// that gets little can look the same, and costs it half a second.
     fn mark_overdue(&mut self, now: Time) {
-        self.nodes.iter_mut().for_each(|node| node.overdue = 0);
+        let mut overdue = vec![0; self.nodes.len()];
         let patience: Vec<Span> = (0..self.took.len())
             .map(|g| self.usual(g).scaled(OVERDUE).max(self.deployment.groups[g].target / 2))
             .collect();
         for command in self.commands.values() {
             for dispatch in command.out() {
-                let node = &mut self.nodes[dispatch.node];
-                if node.heard <= dispatch.sent && now - dispatch.sent > patience[command.group] {
-                    node.overdue += 1;
-                }
+                let unheard = self.nodes[dispatch.node].heard <= dispatch.sent;
+                overdue[dispatch.node] += u32::from(unheard && now - dispatch.sent > patience[command.group]);
             }
         }
-        for i in 0..self.nodes.len() {
+        for (i, overdue) in overdue.into_iter().enumerate() {
             let node = &mut self.nodes[i];
-            let mute = node.overdue + node.unheard >= MUTE_AFTER;
+            let mute = overdue + node.unheard >= MUTE_AFTER;
             if mute && !node.mute {
                 node.shunned = node.shunned.max(now + SILENCE / 4);
                 node.mute = true;
@@ -928,14 +818,14 @@
         for i in 0..self.nodes.len() {
             let group = &self.groups[&self.nodes[i].shard];
             let node = &self.nodes[i];
-            if node.probe_sent.is_some() || now < node.probe_next || (node.leaving.is_some() && node.out == 0)
-            {
+            let idle = node.leaving.is_some() && node.out == 0;
+            if node.probe_sent.is_some() || now < node.probe_next || idle {
                 continue;
             }
             let leaving = group.primary.is_some_and(|p| self.nodes[p].leaving.is_some());
             let hurried = group.state != State::Healthy || leaving || group.primary.is_none() || node.mute;
-            let period =
-                if hurried { PROBE_EVERY / 4 } else { PROBE_EVERY.min(self.tightest.max(PROBE_EVERY / 5)) };
+            let calm = PROBE_EVERY.min(self.tightest.max(PROBE_EVERY / 5));
+            let period = if hurried { PROBE_EVERY / 4 } else { calm };
             let node = &mut self.nodes[i];
             node.probe_next = now + period;
             // An answer that carried a report is as good as a probe.
@@ -975,11 +865,11 @@
         let moved = kind.effect == Effect::Keyed
             && one.serial != self.groups[&command.shard].serial
             && self.groups[&command.shard].state == State::Healthy;
-        let slow =
-            self.took[command.group].quantile(0.95).unwrap_or(kind.target).min(kind.target.scaled(0.4));
+        let slow = self.took[command.group].quantile(0.95).unwrap_or(kind.target);
+        let slow = slow.min(kind.target.scaled(0.4)).max(usual);
         let hedged = kind.effect == Effect::Replayable
             && self.deployment.second_copies
-            && (node.mute || node.probe_failed || now - one.sent > slow.max(usual))
+            && (node.mute || node.probe_failed || now - one.sent > slow)
             && self.further_saved > FURTHER_SAVED / 2.0
             && now < command.taken + kind.target;
         if (moved || hedged)
@@ -1001,7 +891,6 @@
     pub fn left(self, router: &mut Router, out: &mut dyn Outlet) {
         if let Some(command) = router.commands.get_mut(&self.0) {
             command.done = true;
-            command.waiting = false;
             router.call_off(self.0, out);
         }
     }
@@ -1010,13 +899,7 @@
     /// answer says of the host at that moment, `reported` what its last report says.
     #[allow(clippy::too_many_arguments)]
     pub fn dispatch_ended(
-        self,
-        router: &mut Router,
-        nth: u16,
-        ending: Ending,
-        over: bool,
-        noted: Standing,
-        reported: Standing,
+        self, router: &mut Router, nth: u16, ending: Ending, over: bool, noted: Standing, reported: Standing,
         out: &mut dyn Outlet,
     ) {
         let now = out.now();
@@ -1026,38 +909,36 @@
             return;
         }
         dispatch.ended = Some(ending);
-        let (i, took, work, noted_then) = (dispatch.node, now - dispatch.sent, dispatch.work, dispatch.noted);
-        let (sent, kind, shard, session) = (dispatch.sent, command.group, command.shard, command.session);
-        if over {
-            command.done = true;
-            command.waiting = false;
-        }
-        router.weigh(i, kind, ending, took, work, sent, now);
-        let lost = matches!(ending, Ending::Reset | Ending::TimedOut | Ending::NoConnection);
-        if lost {
+        let (dispatch, i) = (*dispatch, dispatch.node);
+        let (kind, shard, session) = (command.group, command.shard, command.session);
+        command.done |= over;
+        router.weigh(dispatch, kind, ending, now);
+        if matches!(ending, Ending::Reset | Ending::TimedOut | Ending::NoConnection) {
             router.doubt(i, now);
             let group = router.groups.get_mut(&shard).expect("known shard");
-            group.lost += u32::from(noted_then);
+            group.lost += u32::from(dispatch.noted);
         }
-        if ending == Ending::Answered && noted.position.is_some() && !router.deployment.tokens_carried {
-            let commit = router.commits.entry(session).or_default();
-            *commit = noted.position.unwrap_or_default().max(*commit);
+        if ending == Ending::Answered && !router.deployment.tokens_carried {
+            let latest = router.commits.entry(session).or_default();
+            *latest = noted.position.unwrap_or_default().max(*latest);
         }
         let need = router.deployment.groups[kind].need;
         if let Need::Bounded(bound) = need {
             // A replica that turns reads away is behind, whatever its reports say: it is left alone for longer
             // each time. It guards against reports that are old or untrue.
             let node = &mut router.nodes[i];
-            if ending == Ending::Miss {
-                node.misses += 1;
-                node.behind_until = now + PROBE_EVERY.min(bound * (1 << node.misses.min(6)));
-            } else if ending == Ending::Answered {
-                node.misses = 0;
+            match ending {
+                Ending::Answered => node.misses = 0,
+                Ending::Miss => {
+                    node.misses += 1;
+                    node.behind_until = now + PROBE_EVERY.min(bound * (1 << node.misses.min(6)));
+                }
+                _ => {}
             }
         }
         if noted.role == Some(Role::Primary) {
             // It stood at the present when it answered, so at the least at the moment of the send.
-            let stood = noted.position.map_or(sent, |p| (p - Span(1000)).max(sent));
+            let stood = noted.position.map_or(dispatch.sent, |p| (p - Span(1000)).max(dispatch.sent));
             router.nodes[i].position = router.nodes[i].position.max(stood);
         }
         let answered = matches!(ending, Ending::Answered | Ending::Error | Ending::Full | Ending::Miss);
@@ -1070,10 +951,9 @@
             router.call_off(self.0, out);
         } else if command.out().next().is_none() && !command.waiting {
             let may_repeat = router.may_send(command, &router.deployment.groups[kind], i, now);
-            if may_repeat && now + router.beat < command.expiry {
-                router.place(self.0, out);
-            } else {
-                router.give_up(self.0, out);
+            match may_repeat && now + router.beat < command.expiry {
+                true => router.place(self.0, out),
+                false => router.give_up(self.0, out),
             }
         }
         router.serve_lines(out);
@@ -1082,17 +962,9 @@
 
 impl Router {
     /// Takes an ending in as evidence of a host's health, pace and room.
-    #[allow(clippy::too_many_arguments)]
-    fn weigh(
-        &mut self,
-        i: usize,
-        kind: usize,
-        ending: Ending,
-        took: Span,
-        work: Span,
-        sent: Time,
-        now: Time,
-    ) {
+    fn weigh(&mut self, dispatch: Dispatch, kind: usize, ending: Ending, now: Time) {
+        let Dispatch { node: i, sent, work, .. } = dispatch;
+        let took = now - sent;
         let usual = self.usual(kind);
         let target = self.deployment.groups[kind].target;
         if ending.never_ran() && self.warmth(i, now) >= 1.0 {
@@ -1104,19 +976,10 @@
         let mut late = false;
         match ending {
             Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
-                node.heard = now;
-                node.alive = now;
-                node.unheard = 0;
-                node.probe_failed = false;
-                if ending == Ending::Error {
-                    node.strikes += 1;
-                    if node.strikes > MUTE_AFTER {
-                        node.shunned = now + PROBE_EVERY / 4;
-                    }
-                } else {
-                    node.strikes = 0;
-                    node.shunned = node.shunned.min(now);
-                }
+                (node.heard, node.alive, node.unheard, node.probe_failed) = (now, now, 0, false);
+                node.strikes = if ending == Ending::Error { node.strikes + 1 } else { 0 };
+                let failing = node.strikes > MUTE_AFTER;
+                node.shunned = if failing { now + PROBE_EVERY / 4 } else { node.shunned.min(now) };
             }
             Ending::TimedOut | Ending::Cancelled => {
                 if node.heard <= sent && took > target / 2 {
@@ -1126,8 +989,7 @@
             }
             Ending::NoConnection | Ending::Reset => {
                 node.strikes += 1;
-                let pause = self.deployment.connect_timeout * (1 << node.strikes.min(4));
-                node.shunned = now + pause;
+                node.shunned = now + self.deployment.connect_timeout * (1 << node.strikes.min(4));
                 node.probe_next = now;
             }
             Ending::Moot => {}
