Test the module by scenarios and the adapter by its wire's examples

Scenarios: each state and transition, each kind of effect against each ending, the five rules' traps, cold starts, sessions and bounds, played by one runner. Writing them found that a fresh router whose listed primary had ever restarted went to Failover at once: a host first heard of is not one that restarted.

--- a/crates/comethitch-adapter/src/main.rs
+++ b/crates/comethitch-adapter/src/main.rs
@@ -55,3 +55,6 @@
     let read = input.take(count as u64).read_to_end(frame);
     read.map(|_| ()).map_err(|e| format!("cannot read the batch: {e}"))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -148,7 +148,7 @@
     ///
     /// ```
     /// let missing = comethitch::Deployment::read("me=0\n").unwrap_err();
-    /// assert_eq!(missing, "classes.count is missing");
+    /// assert_eq!(missing, "domain.class_read is missing");
     /// ```
     pub fn read(text: &str) -> Result<Deployment, String> {
         let lines = Lines(text.lines().filter_map(|line| line.split_once('=')).collect());
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -220,6 +220,7 @@
         started: Option<Time>, out: &mut dyn Outlet,
     ) {
         let now = out.now();
+        let known = self.by_host.contains_key(&host);
         let i = self.node_of(host, shard, now);
         let node = &mut self.nodes[i];
         (node.zone, node.power, node.seen) = (zone, power.max(f64::MIN_POSITIVE), true);
@@ -229,21 +230,23 @@
             node.leaving.get_or_insert(now);
         }
         // A process that started anew holds no role and none of what was sent to it.
-        let restarted = started > node.started && node.heard < started.unwrap_or_default();
+        let restarted = known && started > node.started && node.heard < started.unwrap_or_default();
         node.started = node.started.max(started);
         let Some(group) = self.groups.get_mut(&shard) else { return };
         let renamed = heads && group.listed != Some(i);
         if heads {
             group.listed = Some(i);
         }
-        match group.primary {
-            None if heads && group.serial == 0 => group.primary = Some(i),
+        if heads && group.primary.is_none() && group.serial == 0 {
+            group.primary = Some(i);
+        }
+        let lost = group.primary.is_some_and(|p| match p == i {
+            true => restarted || lifecycle == Lifecycle::Gone,
             // The list is seconds late: a primary that has just answered as one outweighs it.
-            Some(p) if p != i && renamed && now - self.nodes[p].led > PROBE_EVERY => {
-                self.fail_over(shard, out)
-            }
-            Some(p) if p == i && (restarted || lifecycle == Lifecycle::Gone) => self.fail_over(shard, out),
-            _ => {}
+            false => renamed && now - self.nodes[p].led > PROBE_EVERY,
+        });
+        if lost {
+            self.fail_over(shard, out);
         }
     }
 
@@ -382,10 +385,7 @@
 
     /// The final answer of a command that gets no further.
     fn give_up(&mut self, id: CommandId, out: &mut dyn Outlet) {
-        let Some(command) = self.commands.get_mut(&id) else { return };
-        if command.done {
-            return;
-        }
+        let Some(command) = self.commands.get_mut(&id).filter(|c| !c.done) else { return };
         command.done = true;
         let group = &self.deployment.groups[command.group];
         let harmless = group.effect == Effect::Replayable
@@ -427,12 +427,9 @@
             return match group.primary {
                 // A fresh router that the list names no primary to probes first.
                 None if group.serial == 0 => Way::Wait,
-                Some(p) if group.state != State::Failover && self.serves(p, group, now) => {
-                    if self.has_room(p, command.group, now) && self.may_send(command, kind, p, now) {
-                        Way::To(p)
-                    } else {
-                        Way::Wait
-                    }
+                Some(p) if self.serves(p, group, now) => {
+                    let now = self.has_room(p, command.group, now) && self.may_send(command, kind, p, now);
+                    if now { Way::To(p) } else { Way::Wait }
                 }
                 // Beyond the design: a keyed command that may have run waits for the next primary while its
                 // repeat is still dropped; a throttle is forbidden and a failure would lose it.
@@ -710,11 +707,9 @@
             return;
         }
         (group.state, group.since, group.noted, group.lost) = (State::Unhealthy, now, 0, 0);
-        for command in self.commands.values_mut() {
-            for dispatch in command.dispatches.iter_mut().filter(|d| d.node == i) {
-                dispatch.noted = dispatch.ended.is_none();
-                group.noted += u32::from(dispatch.noted);
-            }
+        for dispatch in self.commands.values_mut().flat_map(|c| &mut c.dispatches).filter(|d| d.node == i) {
+            dispatch.noted = dispatch.ended.is_none();
+            group.noted += u32::from(dispatch.noted);
         }
         self.nodes[i].probe_next = now;
     }
@@ -723,10 +718,7 @@
     /// are refused.
     fn fail_over(&mut self, shard: Shard, out: &mut dyn Outlet) {
         let now = out.now();
-        let group = self.groups.get_mut(&shard).expect("known shard");
-        if group.state == State::Failover {
-            return;
-        }
+        let Some(group) = self.groups.get_mut(&shard).filter(|g| g.state != State::Failover) else { return };
         (group.state, group.since) = (State::Failover, now);
         group.serial += 1;
         for &i in &group.nodes {
@@ -736,13 +728,9 @@
             out.close_idle(self.nodes[p].host);
             // A mutating write left with a host that answers no commands may have run: it is failed.
             if self.nodes[p].mute || self.nodes[p].probe_failed {
-                let left = self.commands.iter().filter(|(_, c)| {
-                    c.shard == shard
-                        && !c.done
-                        && self.deployment.groups[c.group].effect == Effect::Mutating
-                        && c.out().any(|d| d.node == p)
-                });
-                let left: Vec<CommandId> = left.map(|(id, _)| *id).collect();
+                let mutating = |c: &Command| self.deployment.groups[c.group].effect == Effect::Mutating;
+                let left = |c: &Command| !c.done && mutating(c) && c.out().any(|d| d.node == p);
+                let left: Vec<_> = self.commands.iter().filter(|(_, c)| left(c)).map(|(id, _)| *id).collect();
                 left.into_iter().for_each(|id| self.give_up(id, out));
             }
         }
@@ -818,12 +806,11 @@
         for i in 0..self.nodes.len() {
             let group = &self.groups[&self.nodes[i].shard];
             let node = &self.nodes[i];
-            let idle = node.leaving.is_some() && node.out == 0;
-            if node.probe_sent.is_some() || now < node.probe_next || idle {
+            if node.probe_sent.is_some() || now < node.probe_next || node.leaving.is_some() && node.out == 0 {
                 continue;
             }
-            let leaving = group.primary.is_some_and(|p| self.nodes[p].leaving.is_some());
-            let hurried = group.state != State::Healthy || leaving || group.primary.is_none() || node.mute;
+            let parting = group.primary.is_none_or(|p| self.nodes[p].leaving.is_some());
+            let hurried = group.state != State::Healthy || parting || node.mute;
             let calm = PROBE_EVERY.min(self.tightest.max(PROBE_EVERY / 5));
             let period = if hurried { PROBE_EVERY / 4 } else { calm };
             let node = &mut self.nodes[i];
@@ -841,10 +828,7 @@
     /// is overdue or its host has lost its role.
     fn review(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let now = out.now();
-        let Some(command) = self.commands.get(&id) else { return };
-        if command.done {
-            return;
-        }
+        let Some(command) = self.commands.get(&id).filter(|c| !c.done) else { return };
         let kind = &self.deployment.groups[command.group];
         let usual = self.usual(command.group);
         if now + self.beat >= command.expiry {
@@ -924,8 +908,8 @@
         }
         let need = router.deployment.groups[kind].need;
         if let Need::Bounded(bound) = need {
-            // A replica that turns reads away is behind, whatever its reports say: it is left alone for longer
-            // each time. It guards against reports that are old or untrue.
+            // A replica that turns reads away is behind, whatever its reports say: it is left alone, for
+            // longer each time. It guards against reports that are old or untrue.
             let node = &mut router.nodes[i];
             match ending {
                 Ending::Answered => node.misses = 0,
--- /dev/null
+++ b/crates/comethitch/tests/scenarios.rs
@@ -0,0 +1,283 @@
+//! Plays every file of `scenarios/`. The notation, a step a line, `#` begins a comment:
+//!
+//! ```text
+//! set KEY=VALUE                a setting other than the base below, before anything else
+//! list a primary, b, c cold    the list, whole: role, `cold` (started now), `draining` or `gone`
+//! at 40ms                      the time from the start; what was to be woken before is woken
+//! probed a ok primary -20ms    a probe's end, and what the host says of itself
+//! take 1 bounded for 600ms     a command of a group, with its client timeout (`after 30ms`: since its write)
+//! ended 1.0 reset [over] [role [position]]   the end of a dispatch
+//! left 1                       the client went away
+//! expect dispatch 1 b|c        an act since the last `at`, in this order; a word may list alternatives
+//! never throttle 1             no such act since the last `at`; `*` stands for any word
+//! atmost 9 dispatch * b        no more such acts than this since the last `at`
+//! repeat 20 { ... }            on one line, steps parted by `;`, `%` stands for the round's number
+//! ```
+
+use comethitch::time::{Span, Time};
+use comethitch::{CommandId, Deployment, Ending, Host, Lifecycle, Outlet, Role, Router, Standing};
+use std::{fs, path::Path};
+
+const START: Time = Time(1_000_000_000);
+/// Name, need, effect, reach, response target and client timeout in milliseconds.
+type Group = (&'static str, &'static str, &'static str, &'static str, u64, u64);
+
+const GROUPS: [Group; 7] = [
+    ("bounded", "bounded", "repeatable", "all", 250, 600),
+    ("fresh", "fresh", "repeatable", "all", 250, 750),
+    ("mutating", "write", "once", "all", 300, 3000),
+    ("keyed", "write", "by_key", "cell", 1000, 5000),
+    ("everywhere", "write", "by_key", "all", 1000, 5000),
+    ("any", "any", "repeatable", "all", 400, 1500),
+    ("session", "session", "repeatable", "all", 400, 1500),
+];
+
+fn base() -> String {
+    let mut text = String::from(
+        "domain.guards=off\ndomain.tokens=carried\nload_info.names=x0,x1\nsiblings=2\ntick_us=5000\n\
+         permissions.cancel=true\npermissions.may_probe=true\npermissions.second_copies=true\n\
+         permissions.max_attempts=6\npermissions.retry_after=true\npermissions.max_retry_after_us=2000000\n\
+         permissions.connect_timeout_us=250000\nrules.drain_grace_us=1000000\nrules.cold_from=0.2\n\
+         rules.warm_within_us=10000000\nrules.fall_multiple=2\nrules.fall_us=1000000\n",
+    );
+    let column = |pick: fn(&Group) -> String| GROUPS.map(|g| pick(&g)).join(",");
+    text += &format!("classes.count={}\ndomain.class_read={}\n", GROUPS.len(), column(|g| g.1.into()));
+    text += &format!(
+        "domain.oldest_data_us={}\n",
+        column(|g| u64::from(g.1 == "bounded").to_string() + "000000")
+    );
+    for (i, (_, _, effect, reach, target, timeout)) in GROUPS.iter().enumerate() {
+        text += &format!(
+            "classes.{i}.effect={effect}\nclasses.{i}.group={reach}\nclasses.{i}.target_us={target}000\n\
+             classes.{i}.deadline_us={timeout}000\nclasses.{i}.value=3\nclasses.{i}.window_us=2000000\n"
+        );
+    }
+    text
+}
+
+#[derive(Default)]
+struct Acts {
+    now: Time,
+    said: Vec<String>,
+    wakes: Vec<Time>,
+}
+
+impl Outlet for Acts {
+    fn now(&self) -> Time {
+        self.now
+    }
+    fn dispatch(&mut self, cmd: CommandId, host: Host, _: Span) {
+        self.said.push(format!("dispatch {cmd} {}", name(host)));
+    }
+    fn cancel(&mut self, cmd: CommandId, nth: u16) {
+        self.said.push(format!("cancel {cmd}.{nth}"));
+    }
+    fn throttle(&mut self, cmd: CommandId, retry_after: Option<Span>) {
+        let advice = if retry_after.is_some() { "later" } else { "now" };
+        self.said.push(format!("throttle {cmd} {advice}"));
+    }
+    fn fail(&mut self, cmd: CommandId) {
+        self.said.push(format!("fail {cmd}"));
+    }
+    fn probe(&mut self, host: Host) {
+        self.said.push(format!("probe {}", name(host)));
+    }
+    fn close_idle(&mut self, host: Host) {
+        self.said.push(format!("close {}", name(host)));
+    }
+    fn wake(&mut self, after: Span) {
+        self.wakes.push(self.now + after);
+    }
+    fn subscribe(&mut self) {
+        self.said.push("subscribe".into());
+    }
+    fn note(&mut self, _: &str) {}
+}
+
+fn host(name: &str) -> Host {
+    Host { address: [10, 0, 0, name.as_bytes()[0]], port: 9000 }
+}
+
+fn name(host: Host) -> char {
+    char::from(host.address[3])
+}
+
+fn span(word: &str) -> Span {
+    let word = word.trim_start_matches('-');
+    match word.strip_suffix("ms") {
+        Some(ms) => Span(ms.parse::<u64>().expect("milliseconds") * 1000),
+        None => Span(
+            word.strip_suffix('s').expect("a span in ms or s").parse::<u64>().expect("seconds") * 1_000_000,
+        ),
+    }
+}
+
+fn ending(word: &str) -> Ending {
+    match word {
+        "ok" => Ending::Answered,
+        "error" => Ending::Error,
+        "full" => Ending::Full,
+        "timeout" => Ending::TimedOut,
+        "unconnected" => Ending::NoConnection,
+        "reset" => Ending::Reset,
+        "cancelled" => Ending::Cancelled,
+        "moot" => Ending::Moot,
+        "miss" => Ending::Miss,
+        other => panic!("no ending {other:?}"),
+    }
+}
+
+struct Play {
+    deployment: String,
+    router: Option<Router>,
+    acts: Acts,
+    /// Where in what was said the last `at` stands, and how far `expect` has read.
+    since: usize,
+    read: usize,
+}
+
+impl Play {
+    fn router(&mut self) -> (&mut Router, &mut Acts) {
+        if self.router.is_none() {
+            let deployment = Deployment::read(&self.deployment).expect("a deployment");
+            self.router = Some(Router::start(deployment, 7, &mut self.acts));
+        }
+        (self.router.as_mut().expect("just started"), &mut self.acts)
+    }
+
+    fn standing(&self, words: &[&str]) -> Standing {
+        let role = words.iter().find_map(|word| match *word {
+            "primary" => Some(Role::Primary),
+            "replica" => Some(Role::Replica),
+            _ => None,
+        });
+        let back = words.iter().find(|word| word.starts_with('-'));
+        Standing { role, position: back.map(|word| self.acts.now - span(word)) }
+    }
+
+    fn until(&mut self, time: Time) {
+        let (router, acts) = self.router();
+        while let Some(at) = acts.wakes.iter().copied().filter(|at| *at <= time).min() {
+            acts.wakes.retain(|wake| *wake != at);
+            acts.now = at;
+            router.woken(acts);
+        }
+        acts.now = time;
+    }
+
+    fn step(&mut self, line: &str) -> Result<(), String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words.as_slice() {
+            [] => {}
+            ["set", setting] => {
+                let key = setting.split('=').next().expect("a key").to_owned() + "=";
+                self.deployment = self
+                    .deployment
+                    .lines()
+                    .filter(|l| !l.starts_with(&key))
+                    .fold(format!("{setting}\n"), |text, line| text + line + "\n");
+            }
+            ["list", ..] => {
+                let started = self.acts.now;
+                let (router, acts) = self.router();
+                router.list_starts(true);
+                for entry in line.trim_start_matches("list").split(',') {
+                    let words: Vec<&str> = entry.split_whitespace().collect();
+                    let lifecycle = match () {
+                        () if words.contains(&"draining") => Lifecycle::Draining,
+                        () if words.contains(&"gone") => Lifecycle::Gone,
+                        () => Lifecycle::Ready,
+                    };
+                    let cold = words.contains(&"cold").then_some(started);
+                    let heads = words.contains(&"primary");
+                    router.listed(host(words[0]), 0, 0, lifecycle, heads, 4.0, cold, acts);
+                }
+                router.list_ends(acts);
+            }
+            ["at", time] => {
+                self.since = self.acts.said.len();
+                self.read = self.since;
+                self.until(START + span(time));
+            }
+            ["probed", at, end, told @ ..] => {
+                let told = self.standing(told);
+                let (router, acts) = self.router();
+                router.probed(host(at), ending(end), told, acts);
+            }
+            ["take", id, group, "for", time, rest @ ..] => {
+                let group = GROUPS.iter().position(|g| g.0 == *group).expect("a command group");
+                let since = rest.last().map(|word| span(word));
+                let id = id.parse().expect("an id");
+                let (router, acts) = self.router();
+                router.take(id, group, 0, 1, since, span(time), acts);
+            }
+            ["ended", which, end, told @ ..] => {
+                let (id, nth) = which.split_once('.').expect("command and dispatch");
+                let (over, noted) = (told.contains(&"over"), self.standing(told));
+                let (router, acts) = self.router();
+                let handle = router.handle(id.parse().expect("an id")).ok_or("no such command is known")?;
+                let nth = nth.parse().expect("a dispatch");
+                handle.dispatch_ended(router, nth, ending(end), over, noted, Standing::default(), acts);
+            }
+            ["left", id] => {
+                let (router, acts) = self.router();
+                let handle = router.handle(id.parse().expect("an id")).ok_or("no such command is known")?;
+                handle.left(router, acts);
+            }
+            ["expect", wanted @ ..] => {
+                let found = self.acts.said[self.read..].iter().position(|act| matches(act, wanted));
+                let said = || format!("not seen: {:?}", &self.acts.said[self.read..]);
+                self.read += found.ok_or_else(said)? + 1;
+            }
+            ["never", unwanted @ ..] => {
+                if let Some(act) = self.acts.said[self.since..].iter().find(|act| matches(act, unwanted)) {
+                    return Err(format!("seen: {act}"));
+                }
+            }
+            ["atmost", most, wanted @ ..] => {
+                let seen = self.acts.said[self.since..].iter().filter(|act| matches(act, wanted)).count();
+                if seen > most.parse().expect("a count") {
+                    return Err(format!("seen {seen} times"));
+                }
+            }
+            ["repeat", times, "{", .., "}"] => {
+                let steps = &line[line.find('{').expect("{") + 1..line.rfind('}').expect("}")];
+                for round in 1..=times.parse::<u32>().expect("times") {
+                    for step in steps.split(';') {
+                        self.step(&step.replace('%', &round.to_string()))?;
+                    }
+                }
+            }
+            _ => panic!("no such step: {line:?}"),
+        }
+        Ok(())
+    }
+}
+
+fn matches(act: &str, wanted: &[&str]) -> bool {
+    let words: Vec<&str> = act.split_whitespace().collect();
+    wanted.len() <= words.len()
+        && wanted.iter().zip(words).all(|(want, word)| want.split('|').any(|w| w == "*" || w == word))
+}
+
+#[test]
+fn every_scenario_plays_out() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let mut files: Vec<_> =
+        fs::read_dir(folder).expect("the folder").map(|f| f.expect("a file").path()).collect();
+    files.sort();
+    let mut failures = Vec::new();
+    for file in &files {
+        let text = fs::read_to_string(file).expect("a scenario");
+        let mut play = Play { deployment: base(), router: None, acts: Acts::default(), since: 0, read: 0 };
+        play.acts.now = START;
+        for (number, line) in text.lines().enumerate() {
+            let step = line.split('#').next().unwrap_or_default();
+            if let Err(why) = play.step(step) {
+                failures.push(format!("{}:{}: {line}: {why}", file.display(), number + 1));
+                break;
+            }
+        }
+    }
+    assert!(!files.is_empty() && failures.is_empty(), "{}", failures.join("\n"));
+}
