--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -593,8 +593,11 @@
         // A cold host gets no more than this router's part of what the ramp surely allows: as much for its
         // power as warm hosts get from here, or what one core of it could do, shared among all routers.
         let fall = self.deployment.fall_span;
-        let warm =
-            self.nodes.iter().enumerate().filter(|(j, n)| n.leaving.is_none() && self.warmth(*j, now) >= 1.0);
+        let warm = self
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(j, _)| self.usable(*j, now) && self.warmth(*j, now) >= 1.0);
         let (sent, power) =
             warm.fold((0.0, 0.0), |(sent, power), (_, n)| (sent + n.sent_lately(now, fall), power + n.power));
         let peers = if power > 0.0 { sent / power * node.power } else { 0.0 };
