Share a host's first and least room among the routers

It also holds for any number of routers. Where one router has nearly all traffic it may hold hosts back.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -277,7 +277,7 @@
         self.nodes.push(Node {
             host,
             shard,
-            limit: self.target * 8,
+            limit: self.target * 32 / u64::from(self.deployment.routers),
             alive: now,
             probe_next: now,
             pace: Histogram::new(Span(250), 64),
@@ -992,8 +992,10 @@
         // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
         node.lateness += (f64::from(u8::from(late)) - node.lateness) / 16.0;
         if (late && node.lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
+            // Every router may hold this much at the host at once.
+            let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
             node.limit_cut = now;
-            node.limit = node.limit.min((node.load + work) * 2).scaled(0.85).max(target / 2);
+            node.limit = node.limit.min((node.load + work) * 2).scaled(0.85).max(least);
         }
     }
 }
