--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -27,8 +27,7 @@
 const MUTE_AFTER: u32 = 2;
 /// The part of a bound up to which a replica that checks reads itself is tried.
 const LAG_SHARE: f64 = 0.75;
-/// The part of what warm hosts get, for their power, that a cold one's budget is reckoned from: what was sent
-/// leaks away faster than the window in which it counts, and commands vary.
+/// The part of warm peers' load that a cold host's budget is reckoned from; the rest is left to chance.
 const COLD_SHARE: f64 = 0.4;
 /// The part of a bound kept as a margin where only positions guard a read.
 const MARGIN: u64 = 32;
@@ -89,6 +88,7 @@
     strikes: u32,
     shunned: Time,
     probe_failed: bool,
+    died: bool,
     probe_sent: Option<Time>,
     probe_next: Time,
     /// Answer times as thousandths of the usual one of their command group.
@@ -236,9 +236,7 @@
         let renamed = heads && group.listed != Some(i);
         if heads {
             group.listed = Some(i);
-        }
-        if heads && group.primary.is_none() && group.serial == 0 {
-            group.primary = Some(i);
+            group.primary = group.primary.or(group.listed.filter(|_| group.serial == 0));
         }
         let lost = group.primary.is_some_and(|p| match p == i {
             true => restarted || lifecycle == Lifecycle::Gone,
@@ -405,11 +403,9 @@
     /// Withdraws what is still out of a finished command, and forgets it once nothing is.
     fn call_off(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let Some(command) = self.commands.get(&id) else { return };
-        for (nth, _) in command.dispatches.iter().enumerate().filter(|(_, d)| d.ended.is_none()) {
-            if self.deployment.may_cancel {
-                out.cancel(id, nth as u16);
-            }
-        }
+        let may_cancel = self.deployment.may_cancel;
+        let open = command.dispatches.iter().enumerate().filter(|(_, d)| may_cancel && d.ended.is_none());
+        open.for_each(|(nth, _)| out.cancel(id, nth as u16));
         if command.out().next().is_none() {
             self.commands.remove(&id);
         }
@@ -631,11 +627,11 @@
         let node = &mut self.nodes[i];
         let sent = node.probe_sent.take().unwrap_or(now);
         if ending == Ending::Answered {
-            // A host that could not be reached and now can has most likely started anew: it is cold.
-            if node.probe_failed && node.strikes > 1 {
+            // A host that broke its connections, then could not be reached, has started anew: it is cold.
+            if node.probe_failed && node.died {
                 node.started = node.started.max(Some(now));
             }
-            (node.probe_failed, node.alive) = (false, now);
+            (node.probe_failed, node.alive, node.died) = (false, now, false);
             if !node.mute {
                 (node.strikes, node.shunned) = (0, node.shunned.min(now));
             }
@@ -661,7 +657,10 @@
             node.lag_told = now;
         }
         let (shard, position) = (node.shard, node.position);
-        let Some(role) = noted.and_then(|n| n.role).or(told.role) else { return };
+        // A report may be older than an answer: one made before it last led does not unseat a primary.
+        let told_role =
+            told.role.filter(|r| *r == Role::Primary || told.position.is_none_or(|p| p > node.led));
+        let Some(role) = noted.and_then(|n| n.role).or(told_role) else { return };
         node.role = Some(role);
         if role == Role::Primary {
             self.leads(i, position, noted.is_some(), out);
@@ -969,13 +968,12 @@
                 node.shunned = if failing { now + PROBE_EVERY / 4 } else { node.shunned.min(now) };
             }
             Ending::TimedOut | Ending::Cancelled => {
-                if node.heard <= sent && took > target / 2 {
-                    node.unheard += 1;
-                }
+                node.unheard += u32::from(node.heard <= sent && took > target / 2);
                 late = took > target;
             }
             Ending::NoConnection | Ending::Reset => {
                 node.strikes += 1;
+                node.died |= ending == Ending::Reset;
                 node.shunned = now + self.deployment.connect_timeout * (1 << node.strikes.min(4));
                 node.probe_next = now;
             }
