Let long commands fill a host by their own target, and spare fresh replicas from them

Change: a long command's room is stretched by its target over the shortest; long reads wait rather than spoil the last half of fresh replicas; a slow host gets more patience, up to the target; room is cut by half the share of late answers. Short commands at a host that is full of long ones wait longer.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -456,13 +456,19 @@
             }
         }
         // Beyond the design: a read of any age spares the replicas that bounded reads can use and goes to the
-        // one furthest behind. Long reads hold a replica's log up: spread evenly they would spoil them all.
+        // one furthest behind. A long one holds a replica's log up: it waits rather than spoil a fresh replica
+        // when no more than half of them are left.
         if kind.need == Need::Any {
-            let stale = |i: usize| !self.fresh_enough(i, Need::Bounded(self.tightest), Time(0), now);
-            let stalest =
-                drawn.iter().map(|(i, _)| *i).filter(|i| stale(*i)).min_by_key(|i| self.nodes[*i].position);
-            if let Some(i) = stalest {
-                return Way::To(i);
+            let fresh = |i: &usize| self.fresh_enough(*i, Need::Bounded(self.tightest), Time(0), now);
+            let replicas = group.nodes.iter().filter(|i| group.primary != Some(**i) && self.usable(**i, now));
+            let (left, all) = (replicas.clone().filter(|i| fresh(i)).count(), replicas.count());
+            let behind = drawn.iter().map(|(i, _)| *i).filter(|i| !fresh(i));
+            match behind.min_by_key(|i| self.nodes[*i].position) {
+                Some(i) => return Way::To(i),
+                None if 0 < left && left * 2 <= all && self.usual(command.group) > self.target => {
+                    return Way::Wait;
+                }
+                None => {}
             }
         }
         let mut at = self.chance.below(drawn.iter().map(|(_, weight)| weight).sum());
@@ -572,14 +578,16 @@
     /// The draw is even among equals: a host's part is its power, less what it lacks of warmth and of pace.
     fn weight(&self, i: usize, now: Time) -> f64 {
         let node = &self.nodes[i];
-        let pace = node.pace.quantile(0.5).map_or(1.0, |p| (p.0 as f64 / 1000.0).max(1.0));
-        node.power * self.warmth(i, now) / (pace * pace)
+        node.power * self.warmth(i, now) / node.slowness().powi(2)
     }
 
     /// Whether a host can take this much more work and answer it in time, and is not pushed over by it.
     fn has_room(&self, i: usize, group: usize, now: Time) -> bool {
         let node = &self.nodes[i];
-        if node.out > 0 && node.load + self.work(group) > node.limit {
+        // Room is reckoned for the shortest target: a long command, with a target to match, finds more of it.
+        let long = self.usual(group) > self.target;
+        let stretch = if long { self.deployment.groups[group].target.over(self.target) } else { 1.0 };
+        if node.out > 0 && node.load + self.work(group) > node.limit.scaled(stretch) {
             return false;
         }
         let warmth = self.warmth(i, now);
@@ -761,13 +769,16 @@
     /// that gets little can look the same, and costs it half a second.
     fn mark_overdue(&mut self, now: Time) {
         let mut overdue = vec![0; self.nodes.len()];
-        let patience: Vec<Span> = (0..self.took.len())
-            .map(|g| self.usual(g).scaled(OVERDUE).max(self.deployment.groups[g].target / 2))
-            .collect();
+        let usual: Vec<Span> = (0..self.took.len()).map(|group| self.usual(group)).collect();
         for command in self.commands.values() {
+            let target = self.deployment.groups[command.group].target;
             for dispatch in command.out() {
-                let unheard = self.nodes[dispatch.node].heard <= dispatch.sent;
-                overdue[dispatch.node] += u32::from(unheard && now - dispatch.sent > patience[command.group]);
+                let node = &self.nodes[dispatch.node];
+                // A host known to be slow gets more time, but no more than the target: past that all is lost.
+                let patience =
+                    usual[command.group].scaled(OVERDUE * node.slowness()).min(target).max(target / 2);
+                let late = node.heard <= dispatch.sent && now - dispatch.sent > patience;
+                overdue[dispatch.node] += u32::from(late);
             }
         }
         for (i, overdue) in overdue.into_iter().enumerate() {
@@ -867,6 +878,11 @@
 }
 
 impl Node {
+    /// How many times the usual answer time it takes; a fast host counts as a usual one.
+    fn slowness(&self) -> f64 {
+        self.pace.quantile(0.5).map_or(1.0, |pace| (pace.0 as f64 / 1000.0).max(1.0))
+    }
+
     fn sent_lately(&self, now: Time, span: Span) -> f64 {
         self.sent * (-(now - self.sent_at).over(span)).exp()
     }
@@ -993,7 +1009,11 @@
             // Every router may hold this much at the host at once.
             let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
             node.limit_cut = now;
-            node.limit = node.limit.min((node.load + work) * 2).scaled(0.85).max(least);
+            node.limit = node
+                .limit
+                .min((node.load + work) * 2)
+                .scaled((1.0 - node.lateness / 2.0).min(0.85))
+                .max(least);
         }
     }
 }
