--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -465,7 +465,7 @@
             let behind = drawn.iter().map(|(i, _)| *i).filter(|i| !fresh(i));
             match behind.min_by_key(|i| self.nodes[*i].position) {
                 Some(i) => return Way::To(i),
-                None if 0 < left && left * 2 <= all && self.usual(command.group) > self.target => {
+                None if 0 < left && left * 2 <= all && self.long(command.group) => {
                     return Way::Wait;
                 }
                 None => {}
@@ -585,8 +585,8 @@
     fn has_room(&self, i: usize, group: usize, now: Time) -> bool {
         let node = &self.nodes[i];
         // Room is reckoned for the shortest target: a long command, with a target to match, finds more of it.
-        let long = self.usual(group) > self.target;
-        let stretch = if long { self.deployment.groups[group].target.over(self.target) } else { 1.0 };
+        let stretch =
+            if self.long(group) { self.deployment.groups[group].target.over(self.target) } else { 1.0 };
         if node.out > 0 && node.load + self.work(group) > node.limit.scaled(stretch) {
             return false;
         }
@@ -623,6 +623,11 @@
         (mean.0 as f64 * count + prior.0 as f64 * 8.0) / (count + 8.0)
     }
 
+    /// Whether its commands take longer than short ones may, as its target allows and not for a queue.
+    fn long(&self, group: usize) -> bool {
+        self.usual(group).min(self.deployment.groups[group].target / 4) > self.target
+    }
+
     fn usual(&self, group: usize) -> Span {
         self.took[group].quantile(0.5).unwrap_or(self.deployment.groups[group].target / 4)
     }
