--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -207,8 +207,6 @@
         self.commands.contains_key(&id).then_some(Handle(id))
     }
 
-    // ---- the list ----
-
     pub fn list_starts(&mut self, whole: bool) {
         self.whole_list = whole;
         self.nodes.iter_mut().for_each(|node| node.seen = false);
@@ -285,8 +283,6 @@
         i
     }
 
-    // ---- commands ----
-
     #[allow(clippy::too_many_arguments)]
     pub fn take(
         &mut self, id: CommandId, group: usize, shard: Shard, session: u64, since_write: Option<Span>,
@@ -329,8 +325,7 @@
     /// Benefit for the work: what is served first, and given up last.
     fn worth(&self, id: CommandId) -> f64 {
         let Some(command) = self.commands.get(&id) else { return 0.0 };
-        let group = &self.deployment.groups[command.group];
-        group.benefit / self.work(command.group).over(group.target).max(1e-3) / group.target.0 as f64
+        self.deployment.groups[command.group].benefit / self.work(command.group).0.max(1) as f64
     }
 
     fn serve_lines(&mut self, out: &mut dyn Outlet) {
@@ -341,15 +336,12 @@
             for id in line {
                 let Some(command) = self.commands.get(&id).filter(|c| c.waiting && !c.done) else { continue };
                 let kind = (command.group, command.shard);
-                if stuck.contains(&kind) || (further == 1 && self.further_saved < 1.0) {
-                    left.push(id);
-                    continue;
-                }
-                match self.way(id, out.now()) {
+                let barred = stuck.contains(&kind) || (further == 1 && self.further_saved < 1.0);
+                match if barred { Way::Wait } else { self.way(id, out.now()) } {
                     Way::To(i) => self.send(id, i, out),
                     Way::Refused => self.give_up(id, out),
                     Way::Wait => {
-                        stuck.push(kind);
+                        stuck.extend((!barred).then_some(kind));
                         left.push(id);
                     }
                 }
@@ -392,7 +384,8 @@
         if harmless {
             // Back within the target if this was a lack of room: retries count with the first try.
             let failing = self.groups.get(&command.shard).is_some_and(|g| g.state != State::Healthy);
-            let after = if failing { PROBE_EVERY } else { group.target / 8 };
+            let leaderless = failing && matches!(group.need, Need::Write | Need::Fresh);
+            let after = if leaderless { PROBE_EVERY } else { group.target / 8 };
             out.throttle(id, self.deployment.longest_retry_after.map(|longest| after.min(longest)));
         } else {
             out.fail(id);
@@ -411,8 +404,6 @@
         }
     }
 
-    // ---- choosing a host ----
-
     fn way(&mut self, id: CommandId, now: Time) -> Way {
         let command = &self.commands[&id];
         let Some(group) = self.groups.get(&command.shard) else { return Way::Wait };
@@ -438,11 +429,8 @@
         let mut freshest: Option<usize> = None;
         for &i in &group.nodes {
             let tried = command.dispatches.iter().any(|d| d.node == i);
-            if group.primary == Some(i)
-                || tried
-                || !self.usable(i, now)
-                || !self.may_send(command, kind, i, now)
-            {
+            let may = self.usable(i, now) && self.may_send(command, kind, i, now);
+            if tried || !may || group.primary == Some(i) {
                 continue;
             }
             let roomy = self.has_room(i, command.group, now);
@@ -455,19 +443,17 @@
                 drawn.push((i, self.weight(i, now)));
             }
         }
-        // Beyond the design: a read of any age spares the replicas that bounded reads can use and goes to the
-        // one furthest behind. A long one holds a replica's log up: it waits rather than spoil a fresh replica
-        // when no more than half of them are left.
+        // Beyond the design: a read of any age spares fresh replicas and goes to the one furthest behind.
+        // Long ones hold a replica's log up: they wait rather than spoil one of the last half that are fresh.
         if kind.need == Need::Any {
             let fresh = |i: &usize| self.fresh_enough(*i, Need::Bounded(self.tightest), Time(0), now);
             let replicas = group.nodes.iter().filter(|i| group.primary != Some(**i) && self.usable(**i, now));
             let (left, all) = (replicas.clone().filter(|i| fresh(i)).count(), replicas.count());
             let behind = drawn.iter().map(|(i, _)| *i).filter(|i| !fresh(i));
+            let spared = 0 < left && left * 2 <= all && self.long(command.group);
             match behind.min_by_key(|i| self.nodes[*i].position) {
                 Some(i) => return Way::To(i),
-                None if 0 < left && left * 2 <= all && self.long(command.group) => {
-                    return Way::Wait;
-                }
+                None if spared => return Way::Wait,
                 None => {}
             }
         }
@@ -523,9 +509,8 @@
         if command.dispatches.is_empty() {
             return true;
         }
-        if command.dispatches.len() >= self.deployment.max_dispatches
-            || (command.out().next().is_some() && !self.deployment.second_copies)
-        {
+        let copies = self.deployment.second_copies || command.out().next().is_none();
+        if !copies || command.dispatches.len() >= self.deployment.max_dispatches {
             return false;
         }
         let node = &self.nodes[i];
@@ -585,8 +570,8 @@
     fn has_room(&self, i: usize, group: usize, now: Time) -> bool {
         let node = &self.nodes[i];
         // Room is reckoned for the shortest target: a long command, with a target to match, finds more of it.
-        let stretch =
-            if self.long(group) { self.deployment.groups[group].target.over(self.target) } else { 1.0 };
+        let target = self.deployment.groups[group].target;
+        let stretch = if self.long(group) { target.over(self.target) } else { 1.0 };
         if node.out > 0 && node.load + self.work(group) > node.limit.scaled(stretch) {
             return false;
         }
@@ -597,13 +582,9 @@
         // A cold host gets no more than this router's part of what the ramp surely allows: as much for its
         // power as warm hosts get from here, or what one core of it could do, shared among all routers.
         let fall = self.deployment.fall_span;
-        let warm = self
-            .nodes
-            .iter()
-            .enumerate()
-            .filter(|(j, _)| self.usable(*j, now) && self.warmth(*j, now) >= 1.0);
-        let (sent, power) =
-            warm.fold((0.0, 0.0), |(sent, power), (_, n)| (sent + n.sent_lately(now, fall), power + n.power));
+        let warm = (0..self.nodes.len()).filter(|j| self.usable(*j, now) && self.warmth(*j, now) >= 1.0);
+        let carried = |j: usize| (self.nodes[j].sent_lately(now, fall), self.nodes[j].power);
+        let (sent, power) = warm.map(carried).fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let peers = if power > 0.0 { sent / power * node.power } else { 0.0 };
         let alone = fall.0 as f64 / f64::from(self.deployment.routers);
         let budget = self.deployment.fall_multiple * warmth * (peers * COLD_SHARE).max(alone);
@@ -632,8 +613,6 @@
         self.took[group].quantile(0.5).unwrap_or(self.deployment.groups[group].target / 4)
     }
 
-    // ---- what comes back ----
-
     pub fn probed(&mut self, host: Host, ending: Ending, told: Standing, out: &mut dyn Outlet) {
         let now = out.now();
         let Some(&i) = self.by_host.get(&host) else { return };
@@ -656,6 +635,60 @@
         self.serve_lines(out);
     }
 
+    /// Takes an ending in as evidence of a host's health, pace and room.
+    fn weigh(&mut self, dispatch: Dispatch, kind: usize, ending: Ending, now: Time) {
+        let Dispatch { node: i, sent, work, .. } = dispatch;
+        let took = now - sent;
+        let usual = self.usual(kind);
+        let target = self.deployment.groups[kind].target;
+        if ending.never_ran() && self.warmth(i, now) >= 1.0 {
+            self.nodes[i].sent = (self.nodes[i].sent - self.heft(kind)).max(0.0);
+        }
+        let node = &mut self.nodes[i];
+        node.out -= 1;
+        node.load = node.load - work;
+        let mut late = false;
+        match ending {
+            Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
+                (node.heard, node.alive, node.unheard, node.probe_failed) = (now, now, 0, false);
+                node.strikes = if ending == Ending::Error { node.strikes + 1 } else { 0 };
+                let failing = node.strikes > MUTE_AFTER;
+                node.shunned = if failing { now + PROBE_EVERY / 4 } else { node.shunned.min(now) };
+            }
+            Ending::TimedOut | Ending::Cancelled => {
+                node.unheard += u32::from(node.heard <= sent && took > target / 2);
+                late = took > target;
+            }
+            Ending::NoConnection | Ending::Reset => {
+                node.strikes += 1;
+                node.died |= ending == Ending::Reset;
+                node.shunned = now + self.deployment.connect_timeout * (1 << node.strikes.min(4));
+                node.probe_next = now;
+            }
+            Ending::Moot => {}
+        }
+        if ending == Ending::Answered {
+            self.took[kind].add(took);
+            node.pace.add(Span((took.over(usual) * 1000.0) as u64));
+            late = took > target / 2;
+            if !late && node.load > node.limit / 2 {
+                node.limit += work.scaled(0.1);
+            }
+        }
+        // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
+        node.lateness += (f64::from(u8::from(late)) - node.lateness) / 16.0;
+        if (late && node.lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
+            // Every router may hold this much at the host at once.
+            let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
+            node.limit_cut = now;
+            node.limit = node
+                .limit
+                .min((node.load + work) * 2)
+                .scaled((1.0 - node.lateness / 2.0).min(0.85))
+                .max(least);
+        }
+    }
+
     /// Takes in what a host's report, and the note of its answer, say.
     fn learn(&mut self, i: usize, told: Standing, noted: Option<Standing>, out: &mut dyn Outlet) {
         let now = out.now();
@@ -682,8 +715,6 @@
         }
     }
 
-    // ---- the states of a group ----
-
     /// A member answered as primary.
     fn leads(&mut self, i: usize, position: Time, to_command: bool, out: &mut dyn Outlet) {
         let now = out.now();
@@ -729,8 +760,7 @@
         self.nodes[i].probe_next = now;
     }
 
-    /// To Failover: the serial is bumped, idle connections to the old primary are closed and unsent writes
-    /// are refused.
+    /// To Failover: the serial goes up, the old primary's idle connections close, unsent writes are refused.
     fn fail_over(&mut self, shard: Shard, out: &mut dyn Outlet) {
         let now = out.now();
         let Some(group) = self.groups.get_mut(&shard).filter(|g| g.state != State::Failover) else { return };
@@ -753,8 +783,6 @@
         self.serve_lines(out);
     }
 
-    // ---- the passing of time ----
-
     pub fn woken(&mut self, out: &mut dyn Outlet) {
         let now = out.now();
         out.wake(self.beat);
@@ -769,9 +797,8 @@
         self.serve_lines(out);
     }
 
-    /// Finds the hosts that take commands and answer none. It guards against hangs, one-way links and hosts
-    /// so slow that waiting is lost, whether or not they answer probes; a burst of long commands at a host
-    /// that gets little can look the same, and costs it half a second.
+    /// Finds the hosts that take commands and answer none, whatever their probes say: hangs, one-way links,
+    /// hosts too slow to wait for. A few long commands at a quiet host can look the same for half a second.
     fn mark_overdue(&mut self, now: Time) {
         let mut overdue = vec![0; self.nodes.len()];
         let usual: Vec<Span> = (0..self.took.len()).map(|group| self.usual(group)).collect();
@@ -780,10 +807,9 @@
             for dispatch in command.out() {
                 let node = &self.nodes[dispatch.node];
                 // A host known to be slow gets more time, but no more than the target: past that all is lost.
-                let patience =
-                    usual[command.group].scaled(OVERDUE * node.slowness()).min(target).max(target / 2);
-                let late = node.heard <= dispatch.sent && now - dispatch.sent > patience;
-                overdue[dispatch.node] += u32::from(late);
+                let patience = usual[command.group].scaled(OVERDUE * node.slowness());
+                let late = now - dispatch.sent > patience.min(target).max(target / 2);
+                overdue[dispatch.node] += u32::from(late && node.heard <= dispatch.sent);
             }
         }
         for (i, overdue) in overdue.into_iter().enumerate() {
@@ -854,7 +880,11 @@
         }
         let Some(one) = command.out().next() else {
             // In line: a command that could only be late is given up while a retry can still be of use.
-            let in_hand = if command.maybe_ran().next().is_some() { kind.timeout } else { kind.target / 2 };
+            let in_hand = match command.dispatches.is_empty() {
+                true => kind.target / 2,
+                false if kind.effect == Effect::Keyed => kind.timeout,
+                false => kind.target,
+            };
             if command.taken + in_hand < now + self.took[command.group].quantile(0.8).unwrap_or(usual) {
                 self.give_up(id, out);
             }
@@ -870,7 +900,6 @@
         let slow = self.took[command.group].quantile(0.95).unwrap_or(kind.target);
         let slow = slow.min(kind.target.scaled(0.4)).max(usual);
         let hedged = kind.effect == Effect::Replayable
-            && self.deployment.second_copies
             && (node.mute || node.probe_failed || now - one.sent > slow)
             && self.further_saved > FURTHER_SAVED / 2.0
             && now < command.taken + kind.target;
@@ -958,67 +987,9 @@
             router.call_off(self.0, out);
         } else if command.out().next().is_none() && !command.waiting {
             let may_repeat = router.may_send(command, &router.deployment.groups[kind], i, now);
-            match may_repeat && now + router.beat < command.expiry {
-                true => router.place(self.0, out),
-                false => router.give_up(self.0, out),
-            }
+            let on = may_repeat && now + router.beat < command.expiry;
+            if on { router.place(self.0, out) } else { router.give_up(self.0, out) }
         }
         router.serve_lines(out);
     }
 }
-
-impl Router {
-    /// Takes an ending in as evidence of a host's health, pace and room.
-    fn weigh(&mut self, dispatch: Dispatch, kind: usize, ending: Ending, now: Time) {
-        let Dispatch { node: i, sent, work, .. } = dispatch;
-        let took = now - sent;
-        let usual = self.usual(kind);
-        let target = self.deployment.groups[kind].target;
-        if ending.never_ran() && self.warmth(i, now) >= 1.0 {
-            self.nodes[i].sent = (self.nodes[i].sent - self.heft(kind)).max(0.0);
-        }
-        let node = &mut self.nodes[i];
-        node.out -= 1;
-        node.load = node.load - work;
-        let mut late = false;
-        match ending {
-            Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
-                (node.heard, node.alive, node.unheard, node.probe_failed) = (now, now, 0, false);
-                node.strikes = if ending == Ending::Error { node.strikes + 1 } else { 0 };
-                let failing = node.strikes > MUTE_AFTER;
-                node.shunned = if failing { now + PROBE_EVERY / 4 } else { node.shunned.min(now) };
-            }
-            Ending::TimedOut | Ending::Cancelled => {
-                node.unheard += u32::from(node.heard <= sent && took > target / 2);
-                late = took > target;
-            }
-            Ending::NoConnection | Ending::Reset => {
-                node.strikes += 1;
-                node.died |= ending == Ending::Reset;
-                node.shunned = now + self.deployment.connect_timeout * (1 << node.strikes.min(4));
-                node.probe_next = now;
-            }
-            Ending::Moot => {}
-        }
-        if ending == Ending::Answered {
-            self.took[kind].add(took);
-            node.pace.add(Span((took.over(usual) * 1000.0) as u64));
-            late = took > target / 2;
-            if !late && node.load > node.limit / 2 {
-                node.limit += work.scaled(0.1);
-            }
-        }
-        // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
-        node.lateness += (f64::from(u8::from(late)) - node.lateness) / 16.0;
-        if (late && node.lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
-            // Every router may hold this much at the host at once.
-            let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
-            node.limit_cut = now;
-            node.limit = node
-                .limit
-                .min((node.load + work) * 2)
-                .scaled((1.0 - node.lateness / 2.0).min(0.85))
-                .max(least);
-        }
-    }
-}
