--- a/crates/comethitch/tests/scenarios.rs
+++ b/crates/comethitch/tests/scenarios.rs
@@ -73,7 +73,7 @@
         self.said.push(format!("cancel {cmd}.{nth}"));
     }
     fn throttle(&mut self, cmd: CommandId, retry_after: Option<Span>) {
-        let advice = if retry_after.is_some() { "later" } else { "now" };
+        let advice = retry_after.map_or("now".into(), |after| format!("later {}ms", after.0 / 1000));
         self.said.push(format!("throttle {cmd} {advice}"));
     }
     fn fail(&mut self, cmd: CommandId) {
