Say each check once, and drop what nothing reads

From reading the whole change again: the drain and the health check stood twice each, the pick looked its command up again, the calm probe cadence was reckoned for each host, one span had no name, a setting (late_share) and an outlet call (note) had no reader, and two adapter tests built the same start.

--- a/crates/comethitch-adapter/src/outlet.rs
+++ b/crates/comethitch-adapter/src/outlet.rs
@@ -40,7 +40,9 @@
     }
 
     pub fn bail_out(&mut self, text: &str) {
-        self.text(88, text);
+        let (start, length) = (self.tail.len() as u32, text.len() as u32);
+        self.tail.extend_from_slice(text.as_bytes());
+        self.record(88, &[&start.to_le_bytes(), &length.to_le_bytes()]);
     }
 
     fn record(&mut self, code: u8, fields: &[&[u8]]) {
@@ -51,12 +53,6 @@
         self.frame.resize(end, 0);
         self.count += 1;
     }
-
-    fn text(&mut self, code: u8, text: &str) {
-        let (start, length) = (self.tail.len() as u32, text.len() as u32);
-        self.tail.extend_from_slice(text.as_bytes());
-        self.record(code, &[&start.to_le_bytes(), &length.to_le_bytes()]);
-    }
 }
 
 fn micros(span: Span) -> [u8; 4] {
@@ -100,8 +96,4 @@
     fn subscribe(&mut self) {
         self.record(83, &[&[1]]);
     }
-
-    fn note(&mut self, text: &str) {
-        self.text(91, text);
-    }
 }
--- a/crates/comethitch-adapter/src/tests.rs
+++ b/crates/comethitch-adapter/src/tests.rs
@@ -38,17 +38,17 @@
     (fields, text.as_bytes().to_vec())
 }
 
-/// The interface page's list, of a group's two hosts, for instance 3 (its tail follows the deployment text).
-fn listed(at: usize) -> (Vec<Vec<u8>>, Vec<u8>) {
-    let start = (at as u32).to_le_bytes();
-    let directory = [bytes("19 00000000"), start.to_vec(), bytes("02000000")].concat();
-    let mut directory = directory;
+/// Instance 3's start, and the interface page's list of a group's two hosts: the records, and their tail.
+fn begun() -> (Vec<Vec<u8>>, Vec<u8>) {
+    let (start, mut tail) = start(DEPLOYMENT);
+    let mut directory =
+        [bytes("19 00000000"), (tail.len() as u32).to_le_bytes().into(), bytes("02000000")].concat();
     directory.resize(48, 0);
-    let entries = bytes(
+    tail.extend(bytes(
         "0a124a07 2b23 00 00 0b00 01 0000803f 0000803f 0000000000000000
          0a9011f2 5423 01 00 0b00 01 00000000 0000c03f 20145d0000000000",
-    );
-    (vec![directory, record("12 0300 02 2900000000000000 00000000")], entries)
+    ));
+    (vec![start, directory, record("12 0300 02 2900000000000000 00000000")], tail)
 }
 
 const TAKEN: &str = "16 0300 c4913a5d 0000 0000 640ad2557c3bf091 80a90300 e02e0000 00003041 0040ce43 01";
@@ -64,11 +64,7 @@
 #[test]
 fn a_command_is_dispatched_to_the_byte_and_an_ending_finds_it() {
     let mut session = Session::default();
-    let (start, mut tail) = start(DEPLOYMENT);
-    let (list, entries) = listed(tail.len());
-    tail.extend(entries);
-    let mut records = vec![start];
-    records.extend(list);
+    let (mut records, tail) = begun();
     records.push(record(TAKEN));
     let reply = session.reply_to(&batch(&records, &tail)).expect("a reply").to_vec();
     // The wake, then the dispatch of the whole 240 ms that the command has.
@@ -89,14 +85,12 @@
 #[test]
 fn lists_are_resolved_in_the_order_of_events() {
     let mut session = Session::default();
-    let (start, mut tail) = start(DEPLOYMENT);
-    let (list, entries) = listed(tail.len());
-    tail.extend(entries);
+    let (mut records, tail) = begun();
     // The number is reused for another list, further on in the same batch.
-    let mut other = list[0].clone();
+    let mut other = records[1].clone();
     other[5..9].copy_from_slice(&((tail.len() - 27) as u32).to_le_bytes());
     other[9] = 1;
-    let records = [vec![start], list, vec![other, record(TAKEN)]].concat();
+    records.extend([other, record(TAKEN)]);
     let reply = session.reply_to(&batch(&records, &tail)).expect("a reply");
     assert_eq!(reply[32 + 7..32 + 13], bytes("0a124a07 2b23"), "the first list named the primary");
 }
@@ -126,18 +120,18 @@
     outside[11] = 9;
     let mut group = record(TAKEN);
     group[7] = 4;
-    let begun = |last: Vec<u8>| batch(&[start.clone(), last], &tail);
+    let then = |last: Vec<u8>| batch(&[start.clone(), last], &tail);
     let cases = [
         (bytes("00000000 1000"), "short frame: 6 bytes of a header of 16"),
         (bytes("01000000 40000000 5a5c800000000000 18"), "short frame: 17 bytes of 64"),
         (bytes("00000000 08000000 5a5c800000000000"), "short frame: its length field says 8 bytes"),
         (bytes("02000000 10000000 5a5c800000000000"), "short frame: 2 records do not fit into 16 bytes"),
-        (begun(record("63 0300")), "record 1 (code 99, byte 64): unknown event code"),
+        (then(record("63 0300")), "record 1 (code 99, byte 64): unknown event code"),
         (batch(&[outside], &tail), "lies outside the tail"),
-        (begun(record("12 0300 02 2900000000000000 05000000")), "list 5 was never given"),
-        (begun(record("12 0300 07")), "unknown list scope 7"),
-        (begun(group), "unknown command group 4"),
-        (begun(record("1a 0300 c4913a5d 0000 44480000 0a124a07 2b23 00 0c00")), "unknown ending 12"),
+        (then(record("12 0300 02 2900000000000000 05000000")), "list 5 was never given"),
+        (then(record("12 0300 07")), "unknown list scope 7"),
+        (then(group), "unknown command group 4"),
+        (then(record("1a 0300 c4913a5d 0000 44480000 0a124a07 2b23 00 0c00")), "unknown ending 12"),
         (restart(short_of("rules.cold_from")), "rules.cold_from is missing"),
         (restart(DEPLOYMENT.replace("siblings=1", "siblings=many")), "siblings is unreadable: \"many\""),
         (restart(DEPLOYMENT.replace("=once", "=twice")), "classes.0.effect is unreadable: \"twice\""),
--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -109,7 +109,6 @@
     pub target: Span,
     pub timeout: Span,
     pub benefit: f64,
-    pub late_share: f64,
     pub effect: Effect,
     pub reach: Reach,
     pub remembered: Span,
@@ -269,7 +268,6 @@
             target: self.span(&key("target_us"))?,
             timeout: self.span(&key("deadline_us"))?,
             benefit: self.get(&key("value"))?,
-            late_share: self.or(&key("late_value"), 0.0)?,
             effect,
             reach: if effect == Effect::Keyed {
                 self.one_of(&key("group"), &reaches)?
@@ -298,5 +296,4 @@
     fn wake(&mut self, after: Span);
     /// Asks for every change of the list from now on.
     fn subscribe(&mut self);
-    fn note(&mut self, text: &str);
 }
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -25,6 +25,8 @@
 const OVERDUE: f64 = 4.0;
 /// Overdue or timed-out dispatches without one answer that make a host mute.
 const MUTE_AFTER: u32 = 2;
+/// How often a mute host is tried with a command.
+const TRIED_EVERY: Span = Span(SILENCE.0 / 4);
 /// The part of a bound up to which a replica that checks reads itself is tried.
 const LAG_SHARE: f64 = 0.75;
 /// The part of warm peers' load that a cold host's budget is reckoned from; the rest is left to chance.
@@ -247,10 +249,9 @@
     }
 
     pub fn list_ends(&mut self, out: &mut dyn Outlet) {
-        let now = out.now();
         if self.whole_list && !self.deployment.gone_is_advice {
             for node in self.nodes.iter_mut().filter(|node| !node.seen) {
-                node.leaving.get_or_insert(now);
+                node.leaving.get_or_insert(out.now());
             }
         }
         self.probe_due(out);
@@ -368,7 +369,7 @@
         node.sent = node.sent_lately(now, self.deployment.fall_span) + heft;
         node.sent_at = now;
         if node.mute {
-            node.shunned = now + SILENCE / 4;
+            node.shunned = now + TRIED_EVERY;
         }
         out.dispatch(id, node.host, time_out);
     }
@@ -408,7 +409,6 @@
         let command = &self.commands[&id];
         let Some(group) = self.groups.get(&command.shard) else { return Way::Wait };
         let kind = &self.deployment.groups[command.group];
-        let work = self.work(command.group);
         if matches!(kind.need, Need::Write | Need::Fresh) {
             let may_have_run = command.maybe_ran().next().is_some();
             return match group.primary {
@@ -464,8 +464,6 @@
                 return Way::To(*i);
             }
         }
-        let (command, group) = (&self.commands[&id], &self.groups[&self.commands[&id].shard]);
-        let kind = &self.deployment.groups[command.group];
         // Beyond the design: not where the freshest would surely turn the read away.
         if let Some(i) = freshest.filter(|i| !fresh_but_full && self.may_check(*i, kind.need, now)) {
             return Way::To(i);
@@ -475,7 +473,7 @@
             let node = &self.nodes[p];
             group.state != State::Failover
                 && node.role != Some(Role::Replica)
-                && node.load + work <= node.limit.scaled(0.75)
+                && node.load + self.work(command.group) <= node.limit.scaled(0.75)
                 && self.usable(p, now)
                 && self.has_room(p, command.group, now)
                 && self.may_send(command, kind, p, now)
@@ -486,22 +484,24 @@
     /// Whether the believed primary may get what only it can do.
     fn serves(&self, p: usize, group: &Group, now: Time) -> bool {
         let node = &self.nodes[p];
-        if node.leaving.is_some_and(|told| now - told > self.deployment.drain_grace / 2) {
-            return false;
-        }
         match group.state {
+            _ if self.parted(p, now) => false,
             State::Healthy => node.role != Some(Role::Replica),
             // Requests go on as long as probes answer. Beyond the design: not to a host that answers probes
             // and no commands, but for one command now and then that tries it.
-            State::Unhealthy => !node.probe_failed && now >= node.shunned,
+            State::Unhealthy => node.well(now),
             State::Failover => false,
         }
     }
 
-    /// Whether a host's health allows reads to be sent there.
+    /// Whether a host that leaves has had as much of its grace as writes may use.
+    fn parted(&self, i: usize, now: Time) -> bool {
+        self.nodes[i].leaving.is_some_and(|told| now - told > self.deployment.drain_grace / 2)
+    }
+
+    /// Whether reads may be sent to a host.
     fn usable(&self, i: usize, now: Time) -> bool {
-        let node = &self.nodes[i];
-        node.leaving.is_none() && !node.probe_failed && now >= node.shunned
+        self.nodes[i].leaving.is_none() && self.nodes[i].well(now)
     }
 
     /// Whether the rules allow this command one more dispatch, to this host.
@@ -816,10 +816,10 @@
             let node = &mut self.nodes[i];
             let mute = overdue + node.unheard >= MUTE_AFTER;
             if mute && !node.mute {
-                node.shunned = node.shunned.max(now + SILENCE / 4);
+                node.shunned = node.shunned.max(now + TRIED_EVERY);
                 node.mute = true;
                 self.doubt(i, now);
-            } else if !mute && node.unheard == 0 && node.heard >= node.shunned - SILENCE / 4 {
+            } else if !mute && node.unheard == 0 && node.heard >= node.shunned - TRIED_EVERY {
                 node.mute = false;
             }
         }
@@ -833,9 +833,8 @@
         let node = &self.nodes[p];
         let answers = !node.probe_failed && !node.mute;
         let lost = node.mute || f64::from(group.lost) >= LOST_SHARE * f64::from(group.noted);
-        let leaving = node.leaving.is_some_and(|told| now - told > self.deployment.drain_grace / 2);
         match group.state {
-            State::Healthy if leaving => self.fail_over(shard, out),
+            State::Healthy if self.parted(p, now) => self.fail_over(shard, out),
             State::Healthy if now - node.alive > SILENCE => self.doubt(p, now),
             State::Unhealthy if !answers && lost && now - group.since > STAGED => self.fail_over(shard, out),
             _ => {}
@@ -847,6 +846,7 @@
             return;
         }
         let now = out.now();
+        let calm = self.tightest.clamp(PROBE_EVERY / 5, PROBE_EVERY);
         for i in 0..self.nodes.len() {
             let group = &self.groups[&self.nodes[i].shard];
             let node = &self.nodes[i];
@@ -855,7 +855,6 @@
             }
             let parting = group.primary.is_none_or(|p| self.nodes[p].leaving.is_some());
             let hurried = group.state != State::Healthy || parting || node.mute;
-            let calm = PROBE_EVERY.min(self.tightest.max(PROBE_EVERY / 5));
             let period = if hurried { PROBE_EVERY / 4 } else { calm };
             let node = &mut self.nodes[i];
             node.probe_next = now + period;
@@ -912,6 +911,10 @@
 }
 
 impl Node {
+    fn well(&self, now: Time) -> bool {
+        !self.probe_failed && now >= self.shunned
+    }
+
     /// How many times the usual answer time it takes; a fast host counts as a usual one.
     fn slowness(&self) -> f64 {
         self.pace.quantile(0.5).map_or(1.0, |pace| (pace.0 as f64 / 1000.0).max(1.0))
--- a/crates/comethitch/tests/scenarios.rs
+++ b/crates/comethitch/tests/scenarios.rs
@@ -91,7 +91,6 @@
     fn subscribe(&mut self) {
         self.said.push("subscribe".into());
     }
-    fn note(&mut self, _: &str) {}
 }
 
 fn host(name: &str) -> Host {
