Leave errors spread over all hosts to the commands; no second copies while others wait

Cause: commands that err at any host were sent again up to the limit of dispatches, and three in a row took a host away. Now an error is sent again only while errors are rare or that host's alone, and a host is left out only if its share of errors is well over that of all hosts. Evidence used: the share of errors by host beside the share everywhere.

Should also hold against a poisoned release of a client, a full disk shared by all.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -21,6 +21,8 @@
 /// Further dispatches that each first one pays for, and how many may be saved up.
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 16.0;
+/// Up to this share of errors a command that met one is tried elsewhere.
+const ERRORS_RARE: f64 = 1.0 / 16.0;
 /// A dispatch out for this many times its command group's usual answer time is overdue.
 const OVERDUE: f64 = 4.0;
 /// Overdue or timed-out dispatches without one answer that make a host mute.
@@ -88,6 +90,7 @@
     unheard: u32,
     mute: bool,
     strikes: u32,
+    errors: f64,
     shunned: Time,
     probe_failed: bool,
     died: bool,
@@ -158,6 +161,8 @@
     /// Commands that wait for room: first dispatches, and behind them further ones.
     lines: [Vec<CommandId>; 2],
     further_saved: f64,
+    /// The share of errors among the last answers, of all hosts together.
+    errors: f64,
     /// Answer times by command group.
     took: Vec<Histogram>,
     /// How old a primary's report of its position is: pure age, since a primary stands at the present.
@@ -190,6 +195,7 @@
             commands: BTreeMap::new(),
             lines: Default::default(),
             further_saved: FURTHER_SAVED,
+            errors: 0.0,
             took,
             report_age: Histogram::new(deployment.beat, 256),
             commits: BTreeMap::new(),
@@ -651,8 +657,11 @@
         match ending {
             Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
                 (node.heard, node.alive, node.unheard, node.probe_failed) = (now, now, 0, false);
-                node.strikes = if ending == Ending::Error { node.strikes + 1 } else { 0 };
-                let failing = node.strikes > MUTE_AFTER;
+                let error = f64::from(u8::from(ending == Ending::Error));
+                self.errors += (error - self.errors) / 64.0;
+                node.errors += (error - node.errors) / 8.0;
+                node.strikes = 0;
+                let failing = node.errs_alone(self.errors);
                 node.shunned = if failing { now + PROBE_EVERY / 4 } else { node.shunned.min(now) };
             }
             Ending::TimedOut | Ending::Cancelled => {
@@ -901,6 +910,7 @@
         let hedged = kind.effect == Effect::Replayable
             && (node.mute || node.probe_failed || now - one.sent > slow)
             && self.further_saved > FURTHER_SAVED / 2.0
+            && self.lines.iter().all(Vec::is_empty)
             && now < command.taken + kind.target;
         if (moved || hedged)
             && let Way::To(i) = self.way(id, now)
@@ -920,6 +930,12 @@
         self.pace.quantile(0.5).map_or(1.0, |pace| (pace.0 as f64 / 1000.0).max(1.0))
     }
 
+    /// Whether its errors are its own: well over what all hosts together answer with errors. Errors spread over
+    /// all hosts alike are the commands' fault, and taking hosts away would help none of them.
+    fn errs_alone(&self, everywhere: f64) -> bool {
+        self.errors > (1.0 + everywhere) / 2.0
+    }
+
     fn sent_lately(&self, now: Time, span: Span) -> f64 {
         self.sent * (-(now - self.sent_at).over(span)).exp()
     }
@@ -990,7 +1006,11 @@
             router.call_off(self.0, out);
         } else if command.out().next().is_none() && !command.waiting {
             let may_repeat = router.may_send(command, &router.deployment.groups[kind], i, now);
-            let on = may_repeat && now + router.beat < command.expiry;
+            // What erred at one host would err at the next, unless errors are rare or that host's alone.
+            let own_fault = ending == Ending::Error
+                && router.errors > ERRORS_RARE
+                && !router.nodes[i].errs_alone(router.errors);
+            let on = may_repeat && !own_fault && now + router.beat < command.expiry;
             if on { router.place(self.0, out) } else { router.give_up(self.0, out) }
         }
         router.serve_lines(out);
