Let commands pay for probes, at the deployment's price for one

Should also hold where a fleet is idle or routers multiply. May hurt where a group with little traffic loses its primary: its state is then learned more slowly.

--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -125,6 +125,8 @@
     pub beat: Span,
     pub may_cancel: bool,
     pub may_probe: bool,
+    /// Points of service that one probe for each command would cost.
+    pub probe_price: f64,
     pub second_copies: bool,
     pub max_dispatches: usize,
     pub longest_retry_after: Option<Span>,
@@ -169,6 +171,7 @@
             beat: lines.span("tick_us")?,
             may_cancel: lines.or("permissions.cancel", false)?,
             may_probe: lines.or("permissions.may_probe", false)?,
+            probe_price: lines.or("prices.probe", 0.0)?,
             second_copies: lines.or("permissions.second_copies", false)?,
             max_dispatches: lines.get("permissions.max_attempts")?,
             longest_retry_after: match retry_after {
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -18,6 +18,10 @@
 const STAGED: Span = Span(3_000_000);
 const LOST_SHARE: f64 = 0.6;
 
+/// Points of service that probes may cost: a router with few commands pays many times over for each look.
+const PROBE_POINTS: f64 = 0.02;
+/// How long a host may go without a probe that nothing has paid for.
+const PROBE_IDLE: Span = Span(PROBE_EVERY.0 * 10);
 /// Further dispatches that each first one pays for, and how many may be saved up.
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 16.0;
@@ -55,6 +59,8 @@
     /// Dispatches out to the primary as the group became Unhealthy, and how many of them were lost.
     noted: u32,
     lost: u32,
+    /// Probes that the group's commands have paid for.
+    probes_saved: f64,
     nodes: Vec<usize>,
 }
 
@@ -286,7 +292,9 @@
             pace: Histogram::new(Span(250), 64),
             ..Node::default()
         });
-        self.groups.entry(shard).or_default().nodes.push(i);
+        let group = self.groups.entry(shard).or_default();
+        group.nodes.push(i);
+        group.probes_saved += 1.0;
         i
     }
 
@@ -304,6 +312,10 @@
         let command = Command { group, shard, session, must_see, taken: now, expiry, ..Command::default() };
         self.commands.insert(id, command);
         self.further_saved = (self.further_saved + FURTHER_SHARE).min(FURTHER_SAVED);
+        if let Some(group) = self.groups.get_mut(&shard) {
+            let most = group.nodes.len() as f64 * 2.0;
+            group.probes_saved = (group.probes_saved + PROBE_POINTS / self.deployment.probe_price).min(most);
+        }
         self.place(id, out);
         Handle(id)
     }
@@ -857,7 +869,7 @@
         let now = out.now();
         let calm = self.tightest.clamp(PROBE_EVERY / 5, PROBE_EVERY);
         for i in 0..self.nodes.len() {
-            let group = &self.groups[&self.nodes[i].shard];
+            let group = self.groups.get_mut(&self.nodes[i].shard).expect("known shard");
             let node = &self.nodes[i];
             if node.probe_sent.is_some() || now < node.probe_next || node.leaving.is_some() && node.out == 0 {
                 continue;
@@ -866,11 +878,17 @@
             let hurried = group.state != State::Healthy || parting || node.mute;
             let period = if hurried { PROBE_EVERY / 4 } else { calm };
             let node = &mut self.nodes[i];
-            node.probe_next = now + period;
             // An answer that carried a report is as good as a probe.
             if !hurried && now - node.lag_told < period && now - node.alive < period {
+                node.probe_next = now + period;
                 continue;
             }
+            let paid = group.probes_saved >= 1.0;
+            if !paid && now < node.probe_next + PROBE_IDLE {
+                continue;
+            }
+            group.probes_saved = (group.probes_saved - 1.0).max(0.0);
+            node.probe_next = now + period;
             node.probe_sent = Some(now);
             out.probe(node.host);
         }
