Tell a host that only this router can't reach from a lost, cold or roleless one

Groups stayed in Failover for up to 15 s though their primaries served other routers, hosts counted as cold after a reset and a failed probe, and scarce probes went to the same member each time. Evidence used: the other members' positions go on moving, which they can't while a group has no primary; a host whose own position moved on did not restart. Now three failures in a row make a host lost, broken connections lower its part in the draw, a group whose members' data move on stays Unhealthy and its primary is tried on, and due probes take turns.

Should also hold for cut links, full connection tables and firewalls. May hurt where a primary dies and a member's position is reported moving for up to two seconds more: writes are tried at the dead one for as long.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -26,11 +26,13 @@
 const FURTHER_SHARE: f64 = 0.2;
 const FURTHER_SAVED: f64 = 16.0;
 /// Up to this share of errors a command that met one is tried elsewhere.
-const ERRORS_RARE: f64 = 1.0 / 16.0;
+const ERRORS_RARE: f64 = 1.0 / 8.0;
 /// A dispatch out for this many times its command group's usual answer time is overdue.
 const OVERDUE: f64 = 4.0;
 /// Overdue or timed-out dispatches without one answer that make a host mute.
 const MUTE_AFTER: u32 = 2;
+/// Failures in a row, of connections, dispatches and probes, that make a host one that can't be reached.
+const LOST_AFTER: u32 = 3;
 /// How often a mute host is tried with a command.
 const TRIED_EVERY: Span = Span(SILENCE.0 / 4);
 /// The part of a bound up to which a replica that checks reads itself is tried.
@@ -95,10 +97,11 @@
     alive: Time,
     unheard: u32,
     mute: bool,
+    /// Failed connections, resets and failed probes since its last sign of life, and their share lately.
     strikes: u32,
+    broken: f64,
     errors: f64,
     shunned: Time,
-    probe_failed: bool,
     died: bool,
     probe_sent: Option<Time>,
     probe_next: Time,
@@ -376,6 +379,7 @@
         let (work, heft) = (self.work(group), self.heft(group));
         let command = self.commands.get_mut(&id).expect("a taken command");
         let (serial, time_out) = (self.groups[&command.shard].serial, command.expiry - now);
+        // A command that nothing has taken yet costs the hosts no more than a first dispatch.
         if !command.dispatches.is_empty() {
             self.further_saved -= 1.0;
         }
@@ -507,11 +511,19 @@
             State::Healthy => node.role != Some(Role::Replica),
             // Requests go on as long as probes answer. Beyond the design: not to a host that answers probes
             // and no commands, but for one command now and then that tries it.
-            State::Unhealthy => node.well(now),
+            State::Unhealthy => node.well(now) && !node.lost() || self.kept(group, now),
             State::Failover => false,
         }
     }
 
+    /// Whether the group keeps a primary that this router can't reach: without one, no member's data move on.
+    /// It is then tried on; no other member could do its work, and a takeover would show in a halt.
+    fn kept(&self, group: &Group, now: Time) -> bool {
+        let others = group.nodes.iter().filter(|i| group.primary != Some(**i));
+        let moving = others.map(|i| &self.nodes[*i]).any(|node| now - node.position < SILENCE);
+        moving && group.primary.is_some_and(|p| !self.nodes[p].mute)
+    }
+
     /// Whether a host that leaves has had as much of its grace as writes may use.
     fn parted(&self, i: usize, now: Time) -> bool {
         self.nodes[i].leaving.is_some_and(|told| now - told > self.deployment.drain_grace / 2)
@@ -578,10 +590,10 @@
         })
     }
 
-    /// The draw is even among equals: a host's part is its power, less what it lacks of warmth and of pace.
+    /// The draw is even among equals: a host's part is its power, less what it lacks of warmth, pace and reach.
     fn weight(&self, i: usize, now: Time) -> f64 {
         let node = &self.nodes[i];
-        node.power * self.warmth(i, now) / node.slowness().powi(2)
+        node.power * self.warmth(i, now) / node.slowness().powi(2) * (1.0 - node.broken).powi(2)
     }
 
     /// Whether a host can take this much more work and answer it in time, and is not pushed over by it.
@@ -637,17 +649,14 @@
         let node = &mut self.nodes[i];
         let sent = node.probe_sent.take().unwrap_or(now);
         if ending == Ending::Answered {
-            // A host that broke its connections, then could not be reached, has started anew: it is cold.
-            if node.probe_failed && node.died {
+            // A host that broke its connections, then could not be reached, and whose data stood still
+            // meanwhile has started anew: it is cold. One that only this router can't reach has moved on.
+            if node.died && node.lost() && told.position.is_some_and(|p| p <= node.alive) {
                 node.started = node.started.max(Some(now));
             }
-            (node.probe_failed, node.alive, node.died) = (false, now, false);
-            if !node.mute {
-                (node.strikes, node.shunned) = (0, node.shunned.min(now));
-            }
+            node.shows_life(now);
         } else if node.alive < sent {
-            node.probe_failed = true;
-            node.strikes += 1;
+            node.strike(now, self.deployment.connect_timeout);
         }
         self.learn(i, told, None, out);
         self.serve_lines(out);
@@ -668,22 +677,25 @@
         let mut late = false;
         match ending {
             Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
-                (node.heard, node.alive, node.unheard, node.probe_failed) = (now, now, 0, false);
+                (node.heard, node.unheard) = (now, 0);
+                node.shows_life(now);
+                node.shunned = node.shunned.min(now);
+                node.broken -= node.broken / 8.0;
                 let error = f64::from(u8::from(ending == Ending::Error));
-                self.errors += (error - self.errors) / 64.0;
+                self.errors += (error - self.errors) / 32.0;
                 node.errors += (error - node.errors) / 8.0;
-                node.strikes = 0;
-                let failing = node.errs_alone(self.errors);
-                node.shunned = if failing { now + PROBE_EVERY / 4 } else { node.shunned.min(now) };
+                if node.errs_alone(self.errors) {
+                    node.shunned = now + PROBE_EVERY / 4;
+                }
             }
             Ending::TimedOut | Ending::Cancelled => {
                 node.unheard += u32::from(node.heard <= sent && took > target / 2);
                 late = took > target;
             }
             Ending::NoConnection | Ending::Reset => {
-                node.strikes += 1;
                 node.died |= ending == Ending::Reset;
-                node.shunned = now + self.deployment.connect_timeout * (1 << node.strikes.min(4));
+                node.broken += (1.0 - node.broken) / 8.0;
+                node.strike(now, self.deployment.connect_timeout);
                 node.probe_next = now;
             }
             Ending::Moot => {}
@@ -793,7 +805,7 @@
         if let Some(p) = group.primary {
             out.close_idle(self.nodes[p].host);
             // A mutating write left with a host that answers no commands may have run: it is failed.
-            if self.nodes[p].mute || self.nodes[p].probe_failed {
+            if self.nodes[p].mute || self.nodes[p].lost() {
                 let mutating = |c: &Command| self.deployment.groups[c.group].effect == Effect::Mutating;
                 let left = |c: &Command| !c.done && mutating(c) && c.out().any(|d| d.node == p);
                 let left: Vec<_> = self.commands.iter().filter(|(_, c)| left(c)).map(|(id, _)| *id).collect();
@@ -852,12 +864,13 @@
         let group = &self.groups[&shard];
         let Some(p) = group.primary else { return };
         let node = &self.nodes[p];
-        let answers = !node.probe_failed && !node.mute;
+        let answers = !node.lost() && !node.mute;
         let lost = node.mute || f64::from(group.lost) >= LOST_SHARE * f64::from(group.noted);
         match group.state {
             State::Healthy if self.parted(p, now) => self.fail_over(shard, out),
             State::Healthy if now - node.alive > SILENCE => self.doubt(p, now),
-            State::Unhealthy if !answers && lost && now - group.since > STAGED => self.fail_over(shard, out),
+            State::Unhealthy if answers || !lost || now - group.since <= STAGED || self.kept(group, now) => {}
+            State::Unhealthy => self.fail_over(shard, out),
             _ => {}
         }
     }
@@ -868,14 +881,19 @@
         }
         let now = out.now();
         let calm = self.tightest.clamp(PROBE_EVERY / 5, PROBE_EVERY);
-        for i in 0..self.nodes.len() {
+        // The longest due first: where few probes are paid for, each member has its turn.
+        let mut due: Vec<usize> =
+            (0..self.nodes.len()).filter(|i| self.nodes[*i].probe_next <= now).collect();
+        due.sort_by_key(|i| self.nodes[*i].probe_next);
+        for i in due {
             let group = self.groups.get_mut(&self.nodes[i].shard).expect("known shard");
             let node = &self.nodes[i];
-            if node.probe_sent.is_some() || now < node.probe_next || node.leaving.is_some() && node.out == 0 {
+            if node.probe_sent.is_some() || node.leaving.is_some() && node.out == 0 {
                 continue;
             }
             let parting = group.primary.is_none_or(|p| self.nodes[p].leaving.is_some());
-            let hurried = group.state != State::Healthy || parting || node.mute;
+            let suspect = group.state == State::Unhealthy && group.primary == Some(i);
+            let hurried = group.state == State::Failover || suspect || parting || node.mute;
             let period = if hurried { PROBE_EVERY / 4 } else { calm };
             let node = &mut self.nodes[i];
             // An answer that carried a report is as good as a probe.
@@ -926,7 +944,7 @@
         let slow = self.took[command.group].quantile(0.95).unwrap_or(kind.target);
         let slow = slow.min(kind.target.scaled(0.4)).max(usual);
         let hedged = kind.effect == Effect::Replayable
-            && (node.mute || node.probe_failed || now - one.sent > slow)
+            && (node.mute || node.lost() || now - one.sent > slow)
             && self.further_saved > FURTHER_SAVED / 2.0
             && self.lines.iter().all(Vec::is_empty)
             && now < command.taken + kind.target;
@@ -940,7 +958,27 @@
 
 impl Node {
     fn well(&self, now: Time) -> bool {
-        !self.probe_failed && now >= self.shunned
+        now >= self.shunned
+    }
+
+    /// Whether nothing has reached it for a while. One failure is no proof: the host may lack a connection
+    /// to spare, or be hard to reach from here alone, and serve all the same.
+    fn lost(&self) -> bool {
+        self.strikes >= LOST_AFTER
+    }
+
+    fn strike(&mut self, now: Time, connect_timeout: Span) {
+        self.strikes += 1;
+        if self.lost() {
+            self.shunned = now + connect_timeout * (1 << (self.strikes - LOST_AFTER).clamp(1, 4));
+        }
+    }
+
+    fn shows_life(&mut self, now: Time) {
+        (self.alive, self.strikes, self.died) = (now, 0, false);
+        if !self.mute {
+            self.shunned = self.shunned.min(now);
+        }
     }
 
     /// How many times the usual answer time it takes; a fast host counts as a usual one.
