Copy only reads at hosts that fail or are slow beside the others

Cause: a second copy went out whenever a read was later than most. Evidence now asked for: the host is mute or lost, or its own pace is twice that of all hosts and the read has been out for half its target.

Should also hold in any shared slowdown. May hurt where answer times vary widely on hosts that are well.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -33,6 +33,8 @@
 const MUTE_AFTER: u32 = 2;
 /// Failures in a row, of connections, dispatches and probes, that make a host one that can't be reached.
 const LOST_AFTER: u32 = 3;
+/// From this many times the usual answer time on a host counts as slow beside the others.
+const SLOW: f64 = 2.0;
 /// How often a mute host is tried with a command.
 const TRIED_EVERY: Span = Span(SILENCE.0 / 4);
 /// The part of a bound up to which a replica that checks reads itself is tried.
@@ -913,7 +915,8 @@
     }
 
     /// Looks a command over: gives it up when its time has run out, sends a second copy when its dispatch
-    /// is overdue or its host has lost its role.
+    /// is at a host that fails, or that is slow beside the others. Where all are slow a copy would only add
+    /// to the crowd: copies of whatever was late fed overloads that fed on them.
     fn review(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let now = out.now();
         let Some(command) = self.commands.get(&id).filter(|c| !c.done) else { return };
@@ -938,19 +941,12 @@
             return;
         }
         let node = &self.nodes[one.node];
-        let moved = kind.effect == Effect::Keyed
-            && one.serial != self.groups[&command.shard].serial
-            && self.groups[&command.shard].state == State::Healthy;
-        let slow = self.took[command.group].quantile(0.95).unwrap_or(kind.target);
-        let slow = slow.min(kind.target.scaled(0.4)).max(usual);
         let hedged = kind.effect == Effect::Replayable
-            && (node.mute || node.lost() || now - one.sent > slow)
+            && (node.mute || node.lost() || node.slowness() > SLOW && now - one.sent > kind.target / 2)
             && self.further_saved > FURTHER_SAVED / 2.0
             && self.lines.iter().all(Vec::is_empty)
             && now < command.taken + kind.target;
-        if (moved || hedged)
-            && let Way::To(i) = self.way(id, now)
-        {
+        if hedged && let Way::To(i) = self.way(id, now) {
             self.send(id, i, out);
         }
     }
