--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -122,7 +122,6 @@
     ended: Option<Ending>,
     noted: bool,
     work: Span,
-    serial: u32,
 }
 
 #[derive(Default)]
@@ -380,13 +379,13 @@
         let group = self.commands[&id].group;
         let (work, heft) = (self.work(group), self.heft(group));
         let command = self.commands.get_mut(&id).expect("a taken command");
-        let (serial, time_out) = (self.groups[&command.shard].serial, command.expiry - now);
+        let time_out = command.expiry - now;
         // A command that nothing has taken yet costs the hosts no more than a first dispatch.
         if !command.dispatches.is_empty() {
             self.further_saved -= 1.0;
         }
         command.waiting = false;
-        command.dispatches.push(Dispatch { node: i, sent: now, ended: None, noted: false, work, serial });
+        command.dispatches.push(Dispatch { node: i, sent: now, ended: None, noted: false, work });
         let node = &mut self.nodes[i];
         node.out += 1;
         node.load += work;
