Judge a crowd by the group's answers together, and let room grow back at one command a host

Cause: with many routers each sees an answer or two a second of each host, so a run of late ones took ten seconds to show, and a room that holds one command never grew back, as nothing was left there when its answer came. Should also hold for routers with little traffic among few. May hurt where one host of a group is late: it loses room at its first late answer.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -65,6 +65,8 @@
     lost: u32,
     /// Probes that the group's commands have paid for.
     probes_saved: f64,
+    /// The share of late answers among its last few.
+    lateness: f64,
     nodes: Vec<usize>,
 }
 
@@ -705,20 +707,25 @@
             self.took[kind].add(took);
             node.pace.add(Span((took.over(usual) * 1000.0) as u64));
             late = took > target / 2;
-            if !late && node.load > node.limit / 2 {
+            if !late && node.load + work > node.limit / 2 {
                 node.limit += work.scaled(0.1);
             }
         }
         // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
-        node.lateness += (f64::from(u8::from(late)) - node.lateness) / 16.0;
-        if (late && node.lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
+        // Where a router sees little of each host, its group's answers together show a crowd sooner.
+        let group = self.groups.get_mut(&node.shard).expect("known shard");
+        for lateness in [&mut node.lateness, &mut group.lateness] {
+            *lateness += (f64::from(u8::from(late)) - *lateness) / 16.0;
+        }
+        let lateness = node.lateness.max(group.lateness);
+        if (late && lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
             // Every router may hold this much at the host at once.
             let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
             node.limit_cut = now;
             node.limit = node
                 .limit
                 .min((node.load + work) * 2)
-                .scaled((1.0 - node.lateness / 2.0).min(0.85))
+                .scaled((1.0 - lateness / 2.0).min(0.85))
                 .max(least);
         }
     }
