Count dispatches called off after half a target as late; room under one command is one now and then

Cause: where clients leave at their target, what a crowded host never answered counted as in time; and with a hundred routers each may still hold one command at each host.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -608,6 +608,11 @@
         if node.out > 0 && node.load + self.work(group) > node.limit.scaled(stretch) {
             return false;
         }
+        // Room for less than one command is one now and then: routers together would hold one each all the time.
+        let parts = self.work(group).min(target / 8).over(node.limit.scaled(stretch));
+        if parts > 1.0 && now - node.sent_at < self.usual(group).scaled(parts) {
+            return false;
+        }
         let warmth = self.warmth(i, now);
         if warmth >= 1.0 {
             return true;
@@ -693,7 +698,7 @@
             }
             Ending::TimedOut | Ending::Cancelled => {
                 node.unheard += u32::from(node.heard <= sent && took > target / 2);
-                late = took > target;
+                late = took > target / 2;
             }
             Ending::NoConnection | Ending::Reset => {
                 node.died |= ending == Ending::Reset;
