Give each command group room in a group of hosts, cut by its late answers together

A router sees one or two answers a second of a host but a score of a group. Evidence: positions of crowded hosts stood still while those of idle ones moved; queues in probes went between 0 and 45.

Should also hold for any fleet of many small routers, and for restarts that make all of them new at once. May hurt where one host of many is late and hides room at the others.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -67,9 +67,19 @@
     probes_saved: f64,
     /// The share of late answers among its last few.
     lateness: f64,
+    /// By command group: its commands out, and how many may be.
+    rooms: Vec<Room>,
     nodes: Vec<usize>,
 }
 
+#[derive(Clone, Default)]
+struct Room {
+    out: u32,
+    limit: f64,
+    lateness: f64,
+    cut: Time,
+}
+
 /// A database host as this router sees it.
 #[derive(Default)]
 struct Node {
@@ -300,6 +310,8 @@
         });
         let group = self.groups.entry(shard).or_default();
         group.nodes.push(i);
+        let room = Room { limit: f64::INFINITY, ..Room::default() };
+        group.rooms.resize(self.deployment.groups.len(), room);
         group.probes_saved += 1.0;
         i
     }
@@ -391,6 +403,7 @@
         let node = &mut self.nodes[i];
         node.out += 1;
         node.load += work;
+        self.groups.get_mut(&node.shard).expect("known shard").rooms[group].out += 1;
         node.sent = node.sent_lately(now, self.deployment.fall_span) + heft;
         node.sent_at = now;
         if node.mute {
@@ -608,6 +621,10 @@
         if node.out > 0 && node.load + self.work(group) > node.limit.scaled(stretch) {
             return false;
         }
+        let room = &self.groups[&node.shard].rooms[group];
+        if f64::from(room.out) + 1.0 > room.limit {
+            return false;
+        }
         // Room for less than one command is one now and then: routers together would hold one each all the time.
         let parts = self.work(group).min(target / 8).over(node.limit.scaled(stretch));
         if parts > 1.0 && now - node.sent_at < self.usual(group).scaled(parts) {
@@ -723,9 +740,21 @@
             *lateness += (f64::from(u8::from(late)) - *lateness) / 16.0;
         }
         let lateness = node.lateness.max(group.lateness);
+        // Every router may hold this much at the host at once.
+        let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
+        let room = &mut group.rooms[kind];
+        let before = f64::from(room.out);
+        room.out -= 1;
+        room.lateness += (f64::from(u8::from(late)) - room.lateness) / 16.0;
+        if ending == Ending::Answered && !late && before > room.limit / 2.0 {
+            room.limit += 0.1;
+        }
+        if late && room.lateness > 0.15 && now - room.cut > target / 2 {
+            room.cut = now;
+            let least = least.over(usual.min(target / 8)) * group.nodes.len() as f64;
+            room.limit = (room.limit.min(before * 2.0) * (1.0 - room.lateness / 2.0).min(0.85)).max(least.max(1.0));
+        }
         if (late && lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
-            // Every router may hold this much at the host at once.
-            let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
             node.limit_cut = now;
             node.limit = node
                 .limit
