--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -65,8 +65,6 @@
     lost: u32,
     /// Probes that the group's commands have paid for.
     probes_saved: f64,
-    /// The share of late answers among its last few.
-    lateness: f64,
     /// By command group: its commands out, and how many may be.
     rooms: Vec<Room>,
     nodes: Vec<usize>,
@@ -625,11 +623,6 @@
         if f64::from(room.out) + 1.0 > room.limit {
             return false;
         }
-        // Room for less than one command is one now and then: routers together would hold one each all the time.
-        let parts = self.work(group).min(target / 8).over(node.limit.scaled(stretch));
-        if parts > 1.0 && now - node.sent_at < self.usual(group).scaled(parts) {
-            return false;
-        }
         let warmth = self.warmth(i, now);
         if warmth >= 1.0 {
             return true;
@@ -736,16 +729,15 @@
         // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
         // Where a router sees little of each host, its group's answers together show a crowd sooner.
         let group = self.groups.get_mut(&node.shard).expect("known shard");
-        for lateness in [&mut node.lateness, &mut group.lateness] {
+        let room = &mut group.rooms[kind];
+        for lateness in [&mut node.lateness, &mut room.lateness] {
             *lateness += (f64::from(u8::from(late)) - *lateness) / 16.0;
         }
-        let lateness = node.lateness.max(group.lateness);
+        let lateness = node.lateness.max(room.lateness);
         // Every router may hold this much at the host at once.
         let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
-        let room = &mut group.rooms[kind];
         let before = f64::from(room.out);
         room.out -= 1;
-        room.lateness += (f64::from(u8::from(late)) - room.lateness) / 16.0;
         if ending == Ending::Answered && !late && before > room.limit / 2.0 {
             room.limit += 0.1;
         }
