Ask a member that told nothing again soon; long reads agree on one replica

Cause: at a common start probes are turned away or told nothing, so for a second no replica was known to be fresh and all bounded reads went to the primary.

Should also hold at mass restarts of routers. May hurt where the largest replica is slow in truth.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -490,6 +490,16 @@
             match behind.min_by_key(|i| self.nodes[*i].position) {
                 Some(i) => return Way::To(i),
                 None if spared => return Way::Wait,
+                // None is behind: all routers agree on the largest to be held up, and on its lowest id.
+                None if self.long(command.group) => {
+                    let order = |i: &usize| (-self.nodes[*i].power, self.nodes[*i].host);
+                    let one = drawn.iter().map(|(i, _)| *i);
+                    if let Some(i) =
+                        one.min_by(|a, b| order(a).partial_cmp(&order(b)).expect("powers are numbers"))
+                    {
+                        return Way::To(i);
+                    }
+                }
                 None => {}
             }
         }
@@ -673,6 +683,10 @@
                 node.started = node.started.max(Some(now));
             }
             node.shows_life(now);
+            // It runs but has nothing to tell yet, as all hosts when all routers ask at the same start.
+            if told == Standing::default() {
+                node.probe_next = node.probe_next.min(now + PROBE_EVERY / 4);
+            }
         } else if node.alive < sent {
             node.strike(now, self.deployment.connect_timeout);
         }
@@ -744,15 +758,13 @@
         if late && room.lateness > 0.15 && now - room.cut > target / 2 {
             room.cut = now;
             let least = least.over(usual.min(target / 8)) * group.nodes.len() as f64;
-            room.limit = (room.limit.min(before * 2.0) * (1.0 - room.lateness / 2.0).min(0.85)).max(least.max(1.0));
+            room.limit =
+                (room.limit.min(before * 2.0) * (1.0 - room.lateness / 2.0).min(0.85)).max(least.max(1.0));
         }
         if (late && lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
             node.limit_cut = now;
-            node.limit = node
-                .limit
-                .min((node.load + work) * 2)
-                .scaled((1.0 - lateness / 2.0).min(0.85))
-                .max(least);
+            node.limit =
+                node.limit.min((node.load + work) * 2).scaled((1.0 - lateness / 2.0).min(0.85)).max(least);
         }
     }
 
