Take a probe's error for a sign of life: the probe fails, not the host

What the routers were told was not so: half the probes ended in errors, at hosts that answered every command sent to them (no command failed there), so health checks failed and the hosts did not.

Should also hold against overloaded probe handlers. May hurt where a host that fails in truth answers probes with errors: its commands' own failures then show it.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -676,14 +676,14 @@
         let Some(&i) = self.by_host.get(&host) else { return };
         let node = &mut self.nodes[i];
         let sent = node.probe_sent.take().unwrap_or(now);
-        if ending == Ending::Answered {
+        if matches!(ending, Ending::Answered | Ending::Error | Ending::Full) {
             // A host that broke its connections, then could not be reached, and whose data stood still
             // meanwhile has started anew: it is cold. One that only this router can't reach has moved on.
             if node.died && node.lost() && told.position.is_some_and(|p| p <= node.alive) {
                 node.started = node.started.max(Some(now));
             }
             node.shows_life(now);
-            // It runs but has nothing to tell yet, as all hosts when all routers ask at the same start.
+            // It runs but tells nothing: it has started just now, is asked by too many, or its probes alone fail.
             if told == Standing::default() {
                 node.probe_next = node.probe_next.min(now + PROBE_EVERY / 4);
             }
