Drop four defences that carry nothing, and keep one kind of room for hosts and groups of hosts

A room is now work in hand for a host and for a command group in a group of hosts alike, and an ending that is no answer is no evidence of a crowd.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -33,6 +33,8 @@
 const MUTE_AFTER: u32 = 2;
 /// Failures in a row, of connections, dispatches and probes, that make a host one that can't be reached.
 const LOST_AFTER: u32 = 3;
+/// From this share of late answers on there is a crowd.
+const LATE_SHARE: f64 = 0.15;
 /// From this many times the usual answer time on a host counts as slow beside the others.
 const SLOW: f64 = 2.0;
 /// How often a mute host is tried with a command.
@@ -70,14 +72,38 @@
     nodes: Vec<usize>,
 }
 
+/// Work in hand at a host, or at a group of hosts for one command group, and how much may be.
 #[derive(Clone, Default)]
 struct Room {
-    out: u32,
-    limit: f64,
+    load: Span,
+    limit: Span,
+    /// The share of late answers among the last few.
     lateness: f64,
     cut: Time,
 }
 
+impl Room {
+    fn holds(&self, work: Span, part: f64) -> bool {
+        self.load == Span(0) || self.load + work <= self.limit.scaled(part)
+    }
+
+    /// Only a run of late answers cuts room: a long command now and then is no sign of a queue. Where a router
+    /// sees little of each host, the `together` of all hosts shows a crowd sooner.
+    fn ended(&mut self, work: Span, late: Option<bool>, together: f64, least: Span, every: Span, now: Time) {
+        let load = self.load;
+        self.load = load - work;
+        let Some(late) = late else { return };
+        self.lateness += (f64::from(u8::from(late)) - self.lateness) / 16.0;
+        let lateness = self.lateness.max(together);
+        if late && lateness > LATE_SHARE && now - self.cut > every {
+            let kept = (1.0 - lateness / 2.0).min(1.0 - LATE_SHARE);
+            (self.cut, self.limit) = (now, self.limit.min(load * 2).scaled(kept).max(least));
+        } else if !late && load > self.limit / 2 {
+            self.limit += work.scaled(0.1);
+        }
+    }
+}
+
 /// A database host as this router sees it.
 #[derive(Default)]
 struct Node {
@@ -95,23 +121,14 @@
     /// How far behind it seemed when last told, and when that was.
     lag: Span,
     lag_told: Time,
-    /// Bounded reads it turned away in a row, and until when it gets no more of them.
-    misses: u32,
-    behind_until: Time,
-    out: u32,
-    load: Span,
-    limit: Span,
-    limit_cut: Time,
-    /// The share of late answers among the last few.
-    lateness: f64,
+    room: Room,
     /// The last answer to a command, and the last sign of life of any kind.
     heard: Time,
     alive: Time,
     unheard: u32,
     mute: bool,
-    /// Failed connections, resets and failed probes since its last sign of life, and their share lately.
+    /// Failed connections, resets and failed probes since its last sign of life.
     strikes: u32,
-    broken: f64,
     errors: f64,
     shunned: Time,
     died: bool,
@@ -300,7 +317,7 @@
         self.nodes.push(Node {
             host,
             shard,
-            limit: self.target * 32 / u64::from(self.deployment.routers),
+            room: Room { limit: self.target * 32 / u64::from(self.deployment.routers), ..Room::default() },
             alive: now,
             probe_next: now,
             pace: Histogram::new(Span(250), 64),
@@ -308,7 +325,7 @@
         });
         let group = self.groups.entry(shard).or_default();
         group.nodes.push(i);
-        let room = Room { limit: f64::INFINITY, ..Room::default() };
+        let room = Room { limit: Span(u64::MAX), ..Room::default() };
         group.rooms.resize(self.deployment.groups.len(), room);
         group.probes_saved += 1.0;
         i
@@ -399,9 +416,8 @@
         command.waiting = false;
         command.dispatches.push(Dispatch { node: i, sent: now, ended: None, noted: false, work });
         let node = &mut self.nodes[i];
-        node.out += 1;
-        node.load += work;
-        self.groups.get_mut(&node.shard).expect("known shard").rooms[group].out += 1;
+        node.room.load += work;
+        self.groups.get_mut(&node.shard).expect("known shard").rooms[group].load += work;
         node.sent = node.sent_lately(now, self.deployment.fall_span) + heft;
         node.sent_at = now;
         if node.mute {
@@ -483,13 +499,9 @@
         // Long ones hold a replica's log up: they wait rather than spoil one of the last half that are fresh.
         if kind.need == Need::Any {
             let fresh = |i: &usize| self.fresh_enough(*i, Need::Bounded(self.tightest), Time(0), now);
-            let replicas = group.nodes.iter().filter(|i| group.primary != Some(**i) && self.usable(**i, now));
-            let (left, all) = (replicas.clone().filter(|i| fresh(i)).count(), replicas.count());
             let behind = drawn.iter().map(|(i, _)| *i).filter(|i| !fresh(i));
-            let spared = 0 < left && left * 2 <= all && self.long(command.group);
             match behind.min_by_key(|i| self.nodes[*i].position) {
                 Some(i) => return Way::To(i),
-                None if spared => return Way::Wait,
                 // None is behind: all routers agree on the largest to be held up, and on its lowest id.
                 None if self.long(command.group) => {
                     let order = |i: &usize| (-self.nodes[*i].power, self.nodes[*i].host);
@@ -511,7 +523,7 @@
             }
         }
         // Beyond the design: not where the freshest would surely turn the read away.
-        if let Some(i) = freshest.filter(|i| !fresh_but_full && self.may_check(*i, kind.need, now)) {
+        if let Some(i) = freshest.filter(|i| !fresh_but_full && self.may_check(*i, kind.need)) {
             return Way::To(i);
         }
         // No replica will do: the primary, whose own commands keep a quarter of its room.
@@ -519,7 +531,7 @@
             let node = &self.nodes[p];
             group.state != State::Failover
                 && node.role != Some(Role::Replica)
-                && node.load + self.work(command.group) <= node.limit.scaled(0.75)
+                && node.room.load + self.work(command.group) <= node.room.limit.scaled(0.75)
                 && self.usable(p, now)
                 && self.has_room(p, command.group, now)
                 && self.may_send(command, kind, p, now)
@@ -590,9 +602,7 @@
             Need::Session => node.position >= must_see,
             // Beyond the design: where replicas check, a position counts as having kept pace since then.
             Need::Bounded(bound) if self.deployment.guards != Guards::Off => {
-                node.lag <= bound.scaled(LAG_SHARE)
-                    && now - node.lag_told <= PROBE_EVERY * 2
-                    && now >= node.behind_until
+                node.lag <= bound.scaled(LAG_SHARE) && now - node.lag_told <= PROBE_EVERY * 2
             }
             Need::Bounded(bound) => now - node.position <= bound - bound / MARGIN,
             Need::Write | Need::Fresh => false,
@@ -600,9 +610,9 @@
     }
 
     /// Whether a replica that checks reads itself may still pass this one, as far as is known.
-    fn may_check(&self, i: usize, need: Need, now: Time) -> bool {
+    fn may_check(&self, i: usize, need: Need) -> bool {
         let node = &self.nodes[i];
-        let behind = matches!(need, Need::Bounded(bound) if node.lag > bound || now < node.behind_until);
+        let behind = matches!(need, Need::Bounded(bound) if node.lag > bound);
         self.deployment.guards != Guards::Off && !behind
     }
 
@@ -614,10 +624,10 @@
         })
     }
 
-    /// The draw is even among equals: a host's part is its power, less what it lacks of warmth, pace and reach.
+    /// The draw is even among equals: a host's part is its power, less what it lacks of warmth and of pace.
     fn weight(&self, i: usize, now: Time) -> f64 {
         let node = &self.nodes[i];
-        node.power * self.warmth(i, now) / node.slowness().powi(2) * (1.0 - node.broken).powi(2)
+        node.power * self.warmth(i, now) / node.slowness().powi(2)
     }
 
     /// Whether a host can take this much more work and answer it in time, and is not pushed over by it.
@@ -626,11 +636,8 @@
         // Room is reckoned for the shortest target: a long command, with a target to match, finds more of it.
         let target = self.deployment.groups[group].target;
         let stretch = if self.long(group) { target.over(self.target) } else { 1.0 };
-        if node.out > 0 && node.load + self.work(group) > node.limit.scaled(stretch) {
-            return false;
-        }
-        let room = &self.groups[&node.shard].rooms[group];
-        if f64::from(room.out) + 1.0 > room.limit {
+        let work = self.work(group);
+        if !node.room.holds(work, stretch) || !self.groups[&node.shard].rooms[group].holds(work, 1.0) {
             return false;
         }
         let warmth = self.warmth(i, now);
@@ -654,12 +661,10 @@
         self.took[group].quantile(0.3).unwrap_or(self.deployment.groups[group].target / 8)
     }
 
-    /// The mean work of a command group's commands, queues counted in: the long ones are what pushes a cold
-    /// host over. The first answers are the short commands', so a quarter of the target stands beside them.
+    /// What a cold host's budget is charged for a command: the long ones are what pushes it over, and the first
+    /// answers are the short ones'.
     fn heft(&self, group: usize) -> f64 {
-        let (took, prior) = (&self.took[group], self.deployment.groups[group].target / 4);
-        let (mean, count) = (took.mean().unwrap_or(prior), f64::from(took.total()));
-        (mean.0 as f64 * count + prior.0 as f64 * 8.0) / (count + 8.0)
+        (self.work(group) * 2).max(self.deployment.groups[group].target / 8).0 as f64
     }
 
     /// Whether its commands take longer than short ones may, as its target allows and not for a queue.
@@ -704,15 +709,12 @@
             self.nodes[i].sent = (self.nodes[i].sent - self.heft(kind)).max(0.0);
         }
         let node = &mut self.nodes[i];
-        node.out -= 1;
-        node.load = node.load - work;
-        let mut late = false;
+        let mut late = None;
         match ending {
             Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
                 (node.heard, node.unheard) = (now, 0);
                 node.shows_life(now);
                 node.shunned = node.shunned.min(now);
-                node.broken -= node.broken / 8.0;
                 let error = f64::from(u8::from(ending == Ending::Error));
                 self.errors += (error - self.errors) / 32.0;
                 node.errors += (error - node.errors) / 8.0;
@@ -721,12 +723,11 @@
                 }
             }
             Ending::TimedOut | Ending::Cancelled => {
-                node.unheard += u32::from(node.heard <= sent && took > target / 2);
-                late = took > target / 2;
+                late = (took > target / 2).then_some(true);
+                node.unheard += u32::from(node.heard <= sent && late.is_some());
             }
             Ending::NoConnection | Ending::Reset => {
                 node.died |= ending == Ending::Reset;
-                node.broken += (1.0 - node.broken) / 8.0;
                 node.strike(now, self.deployment.connect_timeout);
                 node.probe_next = now;
             }
@@ -735,37 +736,18 @@
         if ending == Ending::Answered {
             self.took[kind].add(took);
             node.pace.add(Span((took.over(usual) * 1000.0) as u64));
-            late = took > target / 2;
-            if !late && node.load + work > node.limit / 2 {
-                node.limit += work.scaled(0.1);
-            }
-        }
-        // A long command now and then is no sign of a queue: only a run of late ones cuts the room.
-        // Where a router sees little of each host, its group's answers together show a crowd sooner.
-        let group = self.groups.get_mut(&node.shard).expect("known shard");
-        let room = &mut group.rooms[kind];
-        for lateness in [&mut node.lateness, &mut room.lateness] {
-            *lateness += (f64::from(u8::from(late)) - *lateness) / 16.0;
+            late = Some(took > target / 2);
         }
-        let lateness = node.lateness.max(room.lateness);
-        // Every router may hold this much at the host at once.
+        // Every router may hold this much at a host at once.
         let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
-        let before = f64::from(room.out);
-        room.out -= 1;
-        if ending == Ending::Answered && !late && before > room.limit / 2.0 {
-            room.limit += 0.1;
-        }
-        if late && room.lateness > 0.15 && now - room.cut > target / 2 {
-            room.cut = now;
-            let least = least.over(usual.min(target / 8)) * group.nodes.len() as f64;
-            room.limit =
-                (room.limit.min(before * 2.0) * (1.0 - room.lateness / 2.0).min(0.85)).max(least.max(1.0));
-        }
-        if (late && lateness > 0.15 || ending == Ending::Full) && now - node.limit_cut > target / 2 {
-            node.limit_cut = now;
-            node.limit =
-                node.limit.min((node.load + work) * 2).scaled((1.0 - lateness / 2.0).min(0.85)).max(least);
-        }
+        let group = self.groups.get_mut(&node.shard).expect("known shard");
+        let together = least * group.nodes.len() as u64;
+        group.rooms[kind].ended(work, late, 0.0, together.max(work), target / 2, now);
+        let (late, together) = match ending {
+            Ending::Full => (Some(true), 1.0),
+            _ => (late, group.rooms[kind].lateness),
+        };
+        node.room.ended(work, late, together, least, target / 2, now);
     }
 
     /// Takes in what a host's report, and the note of its answer, say.
@@ -850,13 +832,6 @@
         }
         if let Some(p) = group.primary {
             out.close_idle(self.nodes[p].host);
-            // A mutating write left with a host that answers no commands may have run: it is failed.
-            if self.nodes[p].mute || self.nodes[p].lost() {
-                let mutating = |c: &Command| self.deployment.groups[c.group].effect == Effect::Mutating;
-                let left = |c: &Command| !c.done && mutating(c) && c.out().any(|d| d.node == p);
-                let left: Vec<_> = self.commands.iter().filter(|(_, c)| left(c)).map(|(id, _)| *id).collect();
-                left.into_iter().for_each(|id| self.give_up(id, out));
-            }
         }
         self.probe_due(out);
         self.serve_lines(out);
@@ -934,7 +909,7 @@
         for i in due {
             let group = self.groups.get_mut(&self.nodes[i].shard).expect("known shard");
             let node = &self.nodes[i];
-            if node.probe_sent.is_some() || node.leaving.is_some() && node.out == 0 {
+            if node.probe_sent.is_some() || node.leaving.is_some() && node.room.load == Span(0) {
                 continue;
             }
             let parting = group.primary.is_none_or(|p| self.nodes[p].leaving.is_some());
@@ -984,7 +959,12 @@
         if command.waiting || command.out().nth(1).is_some() {
             return;
         }
-        let node = &self.nodes[one.node];
+        let (node, group) = (&self.nodes[one.node], &self.groups[&command.shard]);
+        // A mutating write left with a lost primary may have run: it is failed.
+        let left = group.state == State::Failover && group.primary == Some(one.node);
+        if left && kind.effect == Effect::Mutating && (node.mute || node.lost()) {
+            return self.give_up(id, out);
+        }
         let hedged = kind.effect == Effect::Replayable
             && (node.mute || node.lost() || node.slowness() > SLOW && now - one.sent > kind.target / 2)
             && self.further_saved > FURTHER_SAVED / 2.0
@@ -1074,19 +1054,6 @@
             *latest = noted.position.unwrap_or_default().max(*latest);
         }
         let need = router.deployment.groups[kind].need;
-        if let Need::Bounded(bound) = need {
-            // A replica that turns reads away is behind, whatever its reports say: it is left alone, for
-            // longer each time. It guards against reports that are old or untrue.
-            let node = &mut router.nodes[i];
-            match ending {
-                Ending::Answered => node.misses = 0,
-                Ending::Miss => {
-                    node.misses += 1;
-                    node.behind_until = now + PROBE_EVERY.min(bound * (1 << node.misses.min(6)));
-                }
-                _ => {}
-            }
-        }
         if noted.role == Some(Role::Primary) {
             // It stood at the present when it answered, so at the least at the moment of the send.
             let stood = noted.position.map_or(dispatch.sent, |p| (p - Span(1000)).max(dispatch.sent));
