Fold the judging of misses, errors and silence into one count of failures and one of silence

May hurt where a primary hangs that gets nothing but commands with long client timeouts: its silence shows as late.

--- a/crates/comethitch/src/chance.rs
+++ b/crates/comethitch/src/chance.rs
@@ -27,4 +27,15 @@
     pub fn below(&mut self, end: f64) -> f64 {
         end * f64::from(self.draw()) / 4_294_967_296.0
     }
+
+    /// The place of one of these, drawn by weight.
+    pub fn pick(&mut self, weights: impl Iterator<Item = f64> + Clone) -> Option<usize> {
+        let mut at = self.below(weights.clone().sum());
+        let last = weights.clone().count().checked_sub(1);
+        let found = weights.enumerate().find_map(|(nth, weight)| {
+            at -= weight;
+            (at < 0.0).then_some(nth)
+        });
+        found.or(last)
+    }
 }
--- a/crates/comethitch/src/histogram.rs
+++ b/crates/comethitch/src/histogram.rs
@@ -39,15 +39,6 @@
         }
     }
 
-    pub fn total(&self) -> u32 {
-        self.total
-    }
-
-    pub fn mean(&self) -> Option<Span> {
-        let sum = (0..BINS).map(|bin| self.middle(bin).0 * u64::from(self.counts[bin])).sum::<u64>();
-        sum.checked_div(self.total.into()).map(Span)
-    }
-
     fn middle(&self, bin: usize) -> Span {
         self.lowest.scaled(2f64.powf((bin as f64 - 0.5) / 2.0))
     }
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -27,9 +27,7 @@
 const FURTHER_SAVED: f64 = 16.0;
 /// Up to this share of errors a command that met one is tried elsewhere.
 const ERRORS_RARE: f64 = 1.0 / 8.0;
-/// A dispatch out for this many times its command group's usual answer time is overdue.
-const OVERDUE: f64 = 4.0;
-/// Overdue or timed-out dispatches without one answer that make a host mute.
+/// Dispatches called off or timed out late, without one answer since they were sent, that make a host mute.
 const MUTE_AFTER: u32 = 2;
 /// Failures in a row, of connections, dispatches and probes, that make a host one that can't be reached.
 const LOST_AFTER: u32 = 3;
@@ -127,11 +125,9 @@
     alive: Time,
     unheard: u32,
     mute: bool,
-    /// Failed connections, resets and failed probes since its last sign of life.
+    /// Failed connections, resets, failed probes and rare errors since its last sign of life.
     strikes: u32,
-    errors: f64,
     shunned: Time,
-    died: bool,
     probe_sent: Option<Time>,
     probe_next: Time,
     /// Answer times as thousandths of the usual one of their command group.
@@ -409,7 +405,6 @@
         let (work, heft) = (self.work(group), self.heft(group));
         let command = self.commands.get_mut(&id).expect("a taken command");
         let time_out = command.expiry - now;
-        // A command that nothing has taken yet costs the hosts no more than a first dispatch.
         if !command.dispatches.is_empty() {
             self.further_saved -= 1.0;
         }
@@ -477,7 +472,6 @@
             };
         }
         let mut drawn: Vec<(usize, f64)> = Vec::new();
-        let mut fresh_but_full = false;
         let mut freshest: Option<usize> = None;
         for &i in &group.nodes {
             let tried = command.dispatches.iter().any(|d| d.node == i);
@@ -490,40 +484,29 @@
                 freshest = Some(i);
             }
             let fresh = self.fresh_enough(i, kind.need, command.must_see, now);
-            fresh_but_full |= fresh && !roomy;
             if fresh && roomy {
                 drawn.push((i, self.weight(i, now)));
             }
         }
-        // Beyond the design: a read of any age spares fresh replicas and goes to the one furthest behind.
-        // Long ones hold a replica's log up: they wait rather than spoil one of the last half that are fresh.
+        // Beyond the design: a read of any age spares fresh replicas and goes to the one furthest behind. Long ones
+        // hold a replica's log up: where none is behind, all routers agree on the largest of lowest id.
         if kind.need == Need::Any {
-            let fresh = |i: &usize| self.fresh_enough(*i, Need::Bounded(self.tightest), Time(0), now);
-            let behind = drawn.iter().map(|(i, _)| *i).filter(|i| !fresh(i));
-            match behind.min_by_key(|i| self.nodes[*i].position) {
-                Some(i) => return Way::To(i),
-                // None is behind: all routers agree on the largest to be held up, and on its lowest id.
-                None if self.long(command.group) => {
-                    let order = |i: &usize| (-self.nodes[*i].power, self.nodes[*i].host);
-                    let one = drawn.iter().map(|(i, _)| *i);
-                    if let Some(i) =
-                        one.min_by(|a, b| order(a).partial_cmp(&order(b)).expect("powers are numbers"))
-                    {
-                        return Way::To(i);
-                    }
-                }
-                None => {}
+            let order = |i: usize| {
+                let (node, tightest) = (&self.nodes[i], Need::Bounded(self.tightest));
+                let fresh = self.fresh_enough(i, tightest, Time(0), now);
+                let behind = if fresh { Time(0) } else { node.position };
+                (fresh, behind, u64::MAX - node.power.to_bits(), node.host, i)
+            };
+            let first = drawn.iter().map(|(i, _)| order(*i)).min();
+            if let Some((.., i)) = first.filter(|first| !first.0 || self.long(command.group)) {
+                return Way::To(i);
             }
         }
-        let mut at = self.chance.below(drawn.iter().map(|(_, weight)| weight).sum());
-        for (nth, (i, weight)) in drawn.iter().enumerate() {
-            at -= weight;
-            if at < 0.0 || nth + 1 == drawn.len() {
-                return Way::To(*i);
-            }
+        if let Some(nth) = self.chance.pick(drawn.iter().map(|(_, weight)| *weight)) {
+            return Way::To(drawn[nth].0);
         }
         // Beyond the design: not where the freshest would surely turn the read away.
-        if let Some(i) = freshest.filter(|i| !fresh_but_full && self.may_check(*i, kind.need)) {
+        if let Some(i) = freshest.filter(|i| self.may_check(*i, kind.need)) {
             return Way::To(i);
         }
         // No replica will do: the primary, whose own commands keep a quarter of its room.
@@ -682,11 +665,6 @@
         let node = &mut self.nodes[i];
         let sent = node.probe_sent.take().unwrap_or(now);
         if matches!(ending, Ending::Answered | Ending::Error | Ending::Full) {
-            // A host that broke its connections, then could not be reached, and whose data stood still
-            // meanwhile has started anew: it is cold. One that only this router can't reach has moved on.
-            if node.died && node.lost() && told.position.is_some_and(|p| p <= node.alive) {
-                node.started = node.started.max(Some(now));
-            }
             node.shows_life(now);
             // It runs but tells nothing: it has started just now, is asked by too many, or its probes alone fail.
             if told == Standing::default() {
@@ -712,22 +690,24 @@
         let mut late = None;
         match ending {
             Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
-                (node.heard, node.unheard) = (now, 0);
-                node.shows_life(now);
-                node.shunned = node.shunned.min(now);
-                let error = f64::from(u8::from(ending == Ending::Error));
-                self.errors += (error - self.errors) / 32.0;
-                node.errors += (error - node.errors) / 8.0;
-                if node.errs_alone(self.errors) {
-                    node.shunned = now + PROBE_EVERY / 4;
+                (node.heard, node.unheard, node.mute) = (now, 0, false);
+                self.errors += (f64::from(u8::from(ending == Ending::Error)) - self.errors) / 32.0;
+                // Errors are the host's while they are rare; spread over all hosts they are the commands'.
+                if ending == Ending::Error && self.errors <= ERRORS_RARE {
+                    node.strike(now, self.deployment.connect_timeout);
+                } else {
+                    node.shows_life(now);
                 }
             }
             Ending::TimedOut | Ending::Cancelled => {
                 late = (took > target / 2).then_some(true);
                 node.unheard += u32::from(node.heard <= sent && late.is_some());
+                // Hangs, one-way links, hosts too slow to wait for, whatever their probes say.
+                if node.unheard >= MUTE_AFTER && !node.mute {
+                    (node.mute, node.shunned) = (true, node.shunned.max(now + TRIED_EVERY));
+                }
             }
             Ending::NoConnection | Ending::Reset => {
-                node.died |= ending == Ending::Reset;
                 node.strike(now, self.deployment.connect_timeout);
                 node.probe_next = now;
             }
@@ -838,9 +818,7 @@
     }
 
     pub fn woken(&mut self, out: &mut dyn Outlet) {
-        let now = out.now();
         out.wake(self.beat);
-        self.mark_overdue(now);
         for shard in self.groups.keys().copied().collect::<Vec<_>>() {
             self.watch(shard, out);
         }
@@ -851,34 +829,6 @@
         self.serve_lines(out);
     }
 
-    /// Finds the hosts that take commands and answer none, whatever their probes say: hangs, one-way links,
-    /// hosts too slow to wait for. A few long commands at a quiet host can look the same for half a second.
-    fn mark_overdue(&mut self, now: Time) {
-        let mut overdue = vec![0; self.nodes.len()];
-        let usual: Vec<Span> = (0..self.took.len()).map(|group| self.usual(group)).collect();
-        for command in self.commands.values() {
-            let target = self.deployment.groups[command.group].target;
-            for dispatch in command.out() {
-                let node = &self.nodes[dispatch.node];
-                // A host known to be slow gets more time, but no more than the target: past that all is lost.
-                let patience = usual[command.group].scaled(OVERDUE * node.slowness());
-                let late = now - dispatch.sent > patience.min(target).max(target / 2);
-                overdue[dispatch.node] += u32::from(late && node.heard <= dispatch.sent);
-            }
-        }
-        for (i, overdue) in overdue.into_iter().enumerate() {
-            let node = &mut self.nodes[i];
-            let mute = overdue + node.unheard >= MUTE_AFTER;
-            if mute && !node.mute {
-                node.shunned = node.shunned.max(now + TRIED_EVERY);
-                node.mute = true;
-                self.doubt(i, now);
-            } else if !mute && node.unheard == 0 && node.heard >= node.shunned - TRIED_EVERY {
-                node.mute = false;
-            }
-        }
-    }
-
     /// Moves a group on by time alone.
     fn watch(&mut self, shard: Shard, out: &mut dyn Outlet) {
         let now = out.now();
@@ -995,7 +945,7 @@
     }
 
     fn shows_life(&mut self, now: Time) {
-        (self.alive, self.strikes, self.died) = (now, 0, false);
+        (self.alive, self.strikes) = (now, 0);
         if !self.mute {
             self.shunned = self.shunned.min(now);
         }
@@ -1006,12 +956,6 @@
         self.pace.quantile(0.5).map_or(1.0, |pace| (pace.0 as f64 / 1000.0).max(1.0))
     }
 
-    /// Whether its errors are its own: well over what all hosts together answer with errors. Errors spread over
-    /// all hosts alike are the commands' fault, and taking hosts away would help none of them.
-    fn errs_alone(&self, everywhere: f64) -> bool {
-        self.errors > (1.0 + everywhere) / 2.0
-    }
-
     fn sent_lately(&self, now: Time, span: Span) -> f64 {
         self.sent * (-(now - self.sent_at).over(span)).exp()
     }
@@ -1044,7 +988,7 @@
         let (kind, shard, session) = (command.group, command.shard, command.session);
         command.done |= over;
         router.weigh(dispatch, kind, ending, now);
-        if matches!(ending, Ending::Reset | Ending::TimedOut | Ending::NoConnection) {
+        if matches!(ending, Ending::Reset | Ending::TimedOut | Ending::NoConnection) || router.nodes[i].mute {
             router.doubt(i, now);
             let group = router.groups.get_mut(&shard).expect("known shard");
             group.lost += u32::from(dispatch.noted);
@@ -1069,10 +1013,8 @@
             router.call_off(self.0, out);
         } else if command.out().next().is_none() && !command.waiting {
             let may_repeat = router.may_send(command, &router.deployment.groups[kind], i, now);
-            // What erred at one host would err at the next, unless errors are rare or that host's alone.
-            let own_fault = ending == Ending::Error
-                && router.errors > ERRORS_RARE
-                && !router.nodes[i].errs_alone(router.errors);
+            // Errors spread over all hosts are the commands' fault: what erred here would err at the next.
+            let own_fault = ending == Ending::Error && router.errors > ERRORS_RARE;
             let on = may_repeat && !own_fault && now + router.beat < command.expiry;
             if on { router.place(self.0, out) } else { router.give_up(self.0, out) }
         }
