--- a/crates/comethitch/src/chance.rs
+++ b/crates/comethitch/src/chance.rs
@@ -29,13 +29,12 @@
     }
 
     /// The place of one of these, drawn by weight.
-    pub fn pick(&mut self, weights: impl Iterator<Item = f64> + Clone) -> Option<usize> {
-        let mut at = self.below(weights.clone().sum());
-        let last = weights.clone().count().checked_sub(1);
-        let found = weights.enumerate().find_map(|(nth, weight)| {
+    pub fn pick(&mut self, weights: &[f64]) -> Option<usize> {
+        let mut at = self.below(weights.iter().sum());
+        let found = weights.iter().position(|weight| {
             at -= weight;
-            (at < 0.0).then_some(nth)
+            at < 0.0
         });
-        found.or(last)
+        found.or(weights.len().checked_sub(1))
     }
 }
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -81,8 +81,8 @@
 }
 
 impl Room {
-    fn holds(&self, work: Span, part: f64) -> bool {
-        self.load == Span(0) || self.load + work <= self.limit.scaled(part)
+    fn holds(&self, work: Span, stretch: f64) -> bool {
+        self.load == Span(0) || self.load + work <= self.limit.scaled(stretch)
     }
 
     /// Only a run of late answers cuts room: a long command now and then is no sign of a queue. Where a router
@@ -471,55 +471,45 @@
                 _ => Way::Refused,
             };
         }
-        let mut drawn: Vec<(usize, f64)> = Vec::new();
-        let mut freshest: Option<usize> = None;
-        for &i in &group.nodes {
-            let tried = command.dispatches.iter().any(|d| d.node == i);
-            let may = self.usable(i, now) && self.may_send(command, kind, i, now);
-            if tried || !may || group.primary == Some(i) {
-                continue;
-            }
-            let roomy = self.has_room(i, command.group, now);
-            if roomy && freshest.is_none_or(|f| self.nodes[f].position < self.nodes[i].position) {
-                freshest = Some(i);
-            }
-            let fresh = self.fresh_enough(i, kind.need, command.must_see, now);
-            if fresh && roomy {
-                drawn.push((i, self.weight(i, now)));
-            }
-        }
+        let open = |i: usize| {
+            self.usable(i, now)
+                && self.has_room(i, command.group, now)
+                && self.may_send(command, kind, i, now)
+        };
+        let tried = |i: usize| group.primary == Some(i) || command.dispatches.iter().any(|d| d.node == i);
+        let replicas: Vec<usize> = group.nodes.iter().copied().filter(|i| !tried(*i) && open(*i)).collect();
+        let fresh = |i: usize, need| self.fresh_enough(i, need, command.must_see, now);
+        let drawn: Vec<usize> = replicas.iter().copied().filter(|i| fresh(*i, kind.need)).collect();
         // Beyond the design: a read of any age spares fresh replicas and goes to the one furthest behind. Long ones
         // hold a replica's log up: where none is behind, all routers agree on the largest of lowest id.
         if kind.need == Need::Any {
             let order = |i: usize| {
-                let (node, tightest) = (&self.nodes[i], Need::Bounded(self.tightest));
-                let fresh = self.fresh_enough(i, tightest, Time(0), now);
+                let (node, fresh) = (&self.nodes[i], fresh(i, Need::Bounded(self.tightest)));
                 let behind = if fresh { Time(0) } else { node.position };
                 (fresh, behind, u64::MAX - node.power.to_bits(), node.host, i)
             };
-            let first = drawn.iter().map(|(i, _)| order(*i)).min();
+            let first = drawn.iter().map(|i| order(*i)).min();
             if let Some((.., i)) = first.filter(|first| !first.0 || self.long(command.group)) {
                 return Way::To(i);
             }
         }
-        if let Some(nth) = self.chance.pick(drawn.iter().map(|(_, weight)| *weight)) {
-            return Way::To(drawn[nth].0);
-        }
-        // Beyond the design: not where the freshest would surely turn the read away.
-        if let Some(i) = freshest.filter(|i| self.may_check(*i, kind.need)) {
-            return Way::To(i);
-        }
-        // No replica will do: the primary, whose own commands keep a quarter of its room.
-        let spare = |p: usize| {
-            let node = &self.nodes[p];
-            group.state != State::Failover
-                && node.role != Some(Role::Replica)
-                && node.room.load + self.work(command.group) <= node.room.limit.scaled(0.75)
-                && self.usable(p, now)
-                && self.has_room(p, command.group, now)
-                && self.may_send(command, kind, p, now)
+        // Beyond the design: not the freshest where it would surely turn the read away.
+        let checks = |i: &usize| {
+            let behind = matches!(kind.need, Need::Bounded(bound) if self.nodes[*i].lag > bound);
+            self.deployment.guards != Guards::Off && !behind
+        };
+        let freshest = replicas.iter().copied().rev().max_by_key(|i| self.nodes[*i].position).filter(checks);
+        // No replica will do: the primary, whose own commands keep a quarter of its room. With room for less than
+        // one it takes none: many routers' single reads would crowd it.
+        let spare = |p: &usize| {
+            let node = &self.nodes[*p];
+            let calm = group.state != State::Failover && node.role != Some(Role::Replica);
+            calm && open(*p) && node.room.load + self.work(command.group) <= node.room.limit.scaled(0.75)
         };
-        group.primary.filter(|p| spare(*p)).map_or(Way::Wait, Way::To)
+        let other = freshest.or(group.primary.filter(spare));
+        let weights: Vec<f64> = drawn.iter().map(|i| self.weight(*i, now)).collect();
+        let one = self.chance.pick(&weights).map(|nth| drawn[nth]);
+        one.or(other).map_or(Way::Wait, Way::To)
     }
 
     /// Whether the believed primary may get what only it can do.
@@ -548,7 +538,6 @@
         self.nodes[i].leaving.is_some_and(|told| now - told > self.deployment.drain_grace / 2)
     }
 
-    /// Whether reads may be sent to a host.
     fn usable(&self, i: usize, now: Time) -> bool {
         self.nodes[i].leaving.is_none() && self.nodes[i].well(now)
     }
@@ -592,13 +581,6 @@
         }
     }
 
-    /// Whether a replica that checks reads itself may still pass this one, as far as is known.
-    fn may_check(&self, i: usize, need: Need) -> bool {
-        let node = &self.nodes[i];
-        let behind = matches!(need, Need::Bounded(bound) if node.lag > bound);
-        self.deployment.guards != Guards::Off && !behind
-    }
-
     /// The share of a host's power that it surely has by now, if it started lately.
     fn warmth(&self, i: usize, now: Time) -> f64 {
         self.nodes[i].started.map_or(1.0, |started| {
@@ -872,8 +854,7 @@
                 node.probe_next = now + period;
                 continue;
             }
-            let paid = group.probes_saved >= 1.0;
-            if !paid && now < node.probe_next + PROBE_IDLE {
+            if group.probes_saved < 1.0 && now < node.probe_next + PROBE_IDLE {
                 continue;
             }
             group.probes_saved = (group.probes_saved - 1.0).max(0.0);
@@ -890,7 +871,6 @@
         let now = out.now();
         let Some(command) = self.commands.get(&id).filter(|c| !c.done) else { return };
         let kind = &self.deployment.groups[command.group];
-        let usual = self.usual(command.group);
         if now + self.beat >= command.expiry {
             return self.give_up(id, out);
         }
@@ -901,7 +881,9 @@
                 false if kind.effect == Effect::Keyed => kind.timeout,
                 false => kind.target,
             };
-            if command.taken + in_hand < now + self.took[command.group].quantile(0.8).unwrap_or(usual) {
+            if command.taken + in_hand
+                < now + self.took[command.group].quantile(0.8).unwrap_or(kind.target / 4)
+            {
                 self.give_up(id, out);
             }
             return;
