--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -297,7 +297,6 @@
         self.serve_lines(out);
     }
 
-    /// Asking for the list failed: it is asked for again.
     pub fn list_failed(&mut self, out: &mut dyn Outlet) {
         if self.deployment.must_subscribe {
             out.subscribe();
@@ -533,7 +532,6 @@
         moving && group.primary.is_some_and(|p| !self.nodes[p].mute)
     }
 
-    /// Whether a host that leaves has had as much of its grace as writes may use.
     fn parted(&self, i: usize, now: Time) -> bool {
         self.nodes[i].leaving.is_some_and(|told| now - told > self.deployment.drain_grace / 2)
     }
@@ -738,7 +736,6 @@
         }
     }
 
-    /// A member answered as primary.
     fn leads(&mut self, i: usize, position: Time, to_command: bool, out: &mut dyn Outlet) {
         let now = out.now();
         let (shard, mute) = (self.nodes[i].shard, self.nodes[i].mute);
