Leave a lost host out for one connect time, without doubling

A host that only this router can't reach, or that lacks a connection to spare, comes back sooner; a dead one costs a command each quarter of a second until the list or a probe tells.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -919,7 +919,7 @@
     fn strike(&mut self, now: Time, connect_timeout: Span) {
         self.strikes += 1;
         if self.lost() {
-            self.shunned = now + connect_timeout * (1 << (self.strikes - LOST_AFTER).clamp(1, 4));
+            self.shunned = now + connect_timeout;
         }
     }
 
