Keep a cold host's budget of under one command by chance; count errors as no work at warm hosts

Cause at size: with a hundred routers each one's part of a cold host's budget is less than one command, so none sent anything until the host was warm. Now one is sent as often as the part is of one.

May hurt where routers' clocks of chance agree: seeds differ.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -85,8 +85,8 @@
         self.load == Span(0) || self.load + work <= self.limit.scaled(stretch)
     }
 
-    /// Only a run of late answers cuts room: a long command now and then is no sign of a queue. Where a router
-    /// sees little of each host, the `together` of all hosts shows a crowd sooner.
+    /// Only a run of late answers cuts room: a long command now and then is no queue. Where a router sees
+    /// little of each host, the `together` of all hosts shows a crowd sooner.
     fn ended(&mut self, work: Span, late: Option<bool>, together: f64, least: Span, every: Span, now: Time) {
         let load = self.load;
         self.load = load - work;
@@ -186,6 +186,7 @@
 pub struct Router {
     deployment: Deployment,
     chance: Chance,
+    salt: u64,
     beat: Span,
     groups: BTreeMap<Shard, Group>,
     nodes: Vec<Node>,
@@ -221,6 +222,7 @@
         out.wake(beat);
         Router {
             chance: Chance::new(seed),
+            salt: seed,
             beat,
             groups: BTreeMap::new(),
             nodes: Vec::new(),
@@ -348,7 +350,6 @@
         Handle(id)
     }
 
-    /// Sends a command on its way, puts it into its line, or gives it up.
     fn place(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let Some(command) = self.commands.get(&id) else { return };
         let (first, ends) = (command.dispatches.is_empty(), command.expiry);
@@ -420,7 +421,6 @@
         out.dispatch(id, node.host, time_out);
     }
 
-    /// The final answer of a command that gets no further.
     fn give_up(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let Some(command) = self.commands.get_mut(&id).filter(|c| !c.done) else { return };
         command.done = true;
@@ -479,8 +479,8 @@
         let replicas: Vec<usize> = group.nodes.iter().copied().filter(|i| !tried(*i) && open(*i)).collect();
         let fresh = |i: usize, need| self.fresh_enough(i, need, command.must_see, now);
         let drawn: Vec<usize> = replicas.iter().copied().filter(|i| fresh(*i, kind.need)).collect();
-        // Beyond the design: a read of any age spares fresh replicas and goes to the one furthest behind. Long ones
-        // hold a replica's log up: where none is behind, all routers agree on the largest of lowest id.
+        // Beyond the design: a read of any age spares fresh replicas and goes to the one furthest behind. As
+        // long ones hold a log up, where none is behind all routers agree on the largest of lowest id.
         if kind.need == Need::Any {
             let order = |i: usize| {
                 let (node, fresh) = (&self.nodes[i], fresh(i, Need::Bounded(self.tightest)));
@@ -498,8 +498,8 @@
             self.deployment.guards != Guards::Off && !behind
         };
         let freshest = replicas.iter().copied().rev().max_by_key(|i| self.nodes[*i].position).filter(checks);
-        // No replica will do: the primary, whose own commands keep a quarter of its room. With room for less than
-        // one it takes none: many routers' single reads would crowd it.
+        // No replica will do: the primary, whose own commands keep a quarter of its room. With room for less
+        // than one it takes none: many routers' single reads would crowd it.
         let spare = |p: &usize| {
             let node = &self.nodes[*p];
             let calm = group.state != State::Failover && node.role != Some(Role::Replica);
@@ -517,8 +517,7 @@
         match group.state {
             _ if self.parted(p, now) => false,
             State::Healthy => node.role != Some(Role::Replica),
-            // Requests go on as long as probes answer. Beyond the design: not to a host that answers probes
-            // and no commands, but for one command now and then that tries it.
+            // Beyond the design: a host that answers probes and no commands is tried with one now and then.
             State::Unhealthy => node.well(now) && !node.lost() || self.kept(group, now),
             State::Failover => false,
         }
@@ -616,7 +615,11 @@
         let peers = if power > 0.0 { sent / power * node.power } else { 0.0 };
         let alone = fall.0 as f64 / f64::from(self.deployment.routers);
         let budget = self.deployment.fall_multiple * warmth * (peers * COLD_SHARE).max(alone);
-        node.sent_lately(now, fall) + self.heft(group) <= budget
+        // Where many routers share it, a part is less than one command: some send one, by chance, most none.
+        let round = (now + Span(self.salt % fall.0.max(1))).0 / fall.0.max(1);
+        let heft = self.heft(group);
+        let one = heft > budget && Chance::new(self.salt ^ round ^ (i as u64) << 32).below(heft) < budget;
+        node.sent_lately(now, fall) + if one { 0.0 } else { heft } <= budget
     }
 
     /// The work of a command group's usual command, as seen from here.
@@ -624,8 +627,8 @@
         self.took[group].quantile(0.3).unwrap_or(self.deployment.groups[group].target / 8)
     }
 
-    /// What a cold host's budget is charged for a command: the long ones are what pushes it over, and the first
-    /// answers are the short ones'.
+    /// What a cold host's budget is charged for a command: the long ones are what pushes it over, and the
+    /// first answers are the short ones'.
     fn heft(&self, group: usize) -> f64 {
         (self.work(group) * 2).max(self.deployment.groups[group].target / 8).0 as f64
     }
@@ -646,7 +649,7 @@
         let sent = node.probe_sent.take().unwrap_or(now);
         if matches!(ending, Ending::Answered | Ending::Error | Ending::Full) {
             node.shows_life(now);
-            // It runs but tells nothing: it has started just now, is asked by too many, or its probes alone fail.
+            // It runs but tells nothing: it has just started, is asked by too many, or only its probes fail.
             if told == Standing::default() {
                 node.probe_next = node.probe_next.min(now + PROBE_EVERY / 4);
             }
@@ -657,13 +660,12 @@
         self.serve_lines(out);
     }
 
-    /// Takes an ending in as evidence of a host's health, pace and room.
     fn weigh(&mut self, dispatch: Dispatch, kind: usize, ending: Ending, now: Time) {
         let Dispatch { node: i, sent, work, .. } = dispatch;
         let took = now - sent;
         let usual = self.usual(kind);
         let target = self.deployment.groups[kind].target;
-        if ending.never_ran() && self.warmth(i, now) >= 1.0 {
+        if (ending.never_ran() || ending == Ending::Error) && self.warmth(i, now) >= 1.0 {
             self.nodes[i].sent = (self.nodes[i].sent - self.heft(kind)).max(0.0);
         }
         let node = &mut self.nodes[i];
@@ -808,7 +810,6 @@
         self.serve_lines(out);
     }
 
-    /// Moves a group on by time alone.
     fn watch(&mut self, shard: Shard, out: &mut dyn Outlet) {
         let now = out.now();
         let group = &self.groups[&shard];
