--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -523,8 +523,8 @@
         }
     }
 
-    /// Whether the group keeps a primary that this router can't reach: without one, no member's data move on.
-    /// It is then tried on; no other member could do its work, and a takeover would show in a halt.
+    /// Beyond the design: whether the group keeps a primary that this router can't reach. Without one no
+    /// member's data move on; with one, it is tried on, as no other could do its work.
     fn kept(&self, group: &Group, now: Time) -> bool {
         let others = group.nodes.iter().filter(|i| group.primary != Some(**i));
         let moving = others.map(|i| &self.nodes[*i]).any(|node| now - node.position < SILENCE);
