Look for a read's last resorts only where no fresh replica can take it

From reading the whole change again: each read worked out the freshest replica and the primary's spare room though one had been drawn already, and a comment on a group's rooms still spoke of counts.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -65,7 +65,6 @@
     lost: u32,
     /// Probes that the group's commands have paid for.
     probes_saved: f64,
-    /// By command group: its commands out, and how many may be.
     rooms: Vec<Room>,
     nodes: Vec<usize>,
 }
@@ -497,7 +496,8 @@
             let behind = matches!(kind.need, Need::Bounded(bound) if self.nodes[*i].lag > bound);
             self.deployment.guards != Guards::Off && !behind
         };
-        let freshest = replicas.iter().copied().rev().max_by_key(|i| self.nodes[*i].position).filter(checks);
+        let freshest =
+            || replicas.iter().copied().rev().max_by_key(|i| self.nodes[*i].position).filter(checks);
         // No replica will do: the primary, whose own commands keep a quarter of its room. With room for less
         // than one it takes none: many routers' single reads would crowd it.
         let spare = |p: &usize| {
@@ -505,7 +505,7 @@
             let calm = group.state != State::Failover && node.role != Some(Role::Replica);
             calm && open(*p) && node.room.load + self.work(command.group) <= node.room.limit.scaled(0.75)
         };
-        let other = freshest.or(group.primary.filter(spare));
+        let other = if drawn.is_empty() { freshest().or_else(|| group.primary.filter(spare)) } else { None };
         let weights: Vec<f64> = drawn.iter().map(|i| self.weight(*i, now)).collect();
         let one = self.chance.pick(&weights).map(|nth| drawn[nth]);
         one.or(other).map_or(Way::Wait, Way::To)
