--- /dev/null
+++ b/crates/comethitchd/src/main.rs
@@ -0,0 +1,89 @@
+//! The command line.
+
+use argh::FromArgs;
+use comethitchd::service::clock::Clock;
+use comethitchd::service::configuration::Site;
+use comethitchd::service::{listen, logger};
+use log::LevelFilter;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A query router for sharded, replicated databases.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Check(Check),
+    Version(Version),
+}
+
+/// Serve clients until SIGTERM.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// the configuration; without it, the file that RELAY_CONFIG names
+    #[argh(option)]
+    configuration: Option<PathBuf>,
+    /// what to log: error, warn, info, debug or trace; info if not given
+    #[argh(option, default = "LevelFilter::Info")]
+    log: LevelFilter,
+}
+
+/// Read the configuration, say what is wrong with it, and serve nothing.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the configuration; without it, the file that RELAY_CONFIG names
+    #[argh(option)]
+    configuration: Option<PathBuf>,
+}
+
+/// Print the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+fn load(configuration: Option<PathBuf>) -> Result<Site, String> {
+    let named = configuration.or_else(|| std::env::var_os("RELAY_CONFIG").map(PathBuf::from));
+    let path = named.ok_or("no configuration: give --configuration, or set RELAY_CONFIG")?;
+    Site::load(&path, |name| std::env::var(name).ok())
+}
+
+fn carry_out(command: Command) -> Result<(), String> {
+    match command {
+        Command::Serve(serve) => {
+            let clock = Clock::start();
+            logger::start(clock, serve.log);
+            listen::run(load(serve.configuration)?, clock)
+        }
+        Command::Check(check) => {
+            let site = load(check.configuration)?;
+            let (groups, hosts) = (site.groups.len(), site.known.entries.len());
+            println!(
+                "{} would listen on {}: {groups} command groups, {hosts} hosts known",
+                site.name, site.listen
+            );
+            Ok(())
+        }
+        Command::Version(_) => {
+            println!("comethitchd {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match carry_out(argh::from_env::<Line>().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("comethitchd: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/memory/buffer.rs
@@ -0,0 +1,61 @@
+//! The one buffer that a connection reads into.
+
+use futures_lite::{AsyncRead, AsyncReadExt};
+use std::io;
+
+/// The least room worth a read, and what an empty buffer keeps.
+const LEAST: usize = 1024;
+const KEPT: usize = 8 * LEAST;
+
+/// It grows as it needs, up to a limit, and is compacted in place.
+pub struct Buffer {
+    bytes: Vec<u8>,
+    start: usize,
+    end: usize,
+    most: usize,
+}
+
+impl Buffer {
+    pub fn new(most: usize) -> Buffer {
+        Buffer { bytes: Vec::new(), start: 0, end: 0, most }
+    }
+
+    pub fn unread(&self) -> &[u8] {
+        &self.bytes[self.start..self.end]
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.end - self.start >= self.most
+    }
+
+    /// Gives up what is read; a large buffer that has become empty is given back.
+    pub fn consume(&mut self, length: usize) {
+        self.start = (self.start + length).min(self.end);
+        if self.start == self.end {
+            (self.start, self.end) = (0, 0);
+            if self.bytes.len() > KEPT {
+                self.bytes = Vec::new();
+            }
+        }
+    }
+
+    /// Reads once; 0 bytes are the end of the stream. Dropping the future loses nothing.
+    pub async fn fill(&mut self, mut from: impl AsyncRead + Unpin) -> io::Result<usize> {
+        if self.bytes.len() - self.end < LEAST && self.start > 0 {
+            self.bytes.copy_within(self.start..self.end, 0);
+            (self.start, self.end) = (0, self.end - self.start);
+        }
+        if self.bytes.len() - self.end < LEAST {
+            self.bytes.resize((self.bytes.len() * 2).clamp(LEAST, self.most.max(LEAST)), 0);
+        }
+        if self.end == self.bytes.len() {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "a message larger than its buffer may be",
+            ));
+        }
+        let length = from.read(&mut self.bytes[self.end..]).await?;
+        self.end += length;
+        Ok(length)
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/memory/commands.rs
@@ -0,0 +1,105 @@
+//! Commands in hand: taken, and not yet answered or with a dispatch still out.
+
+use async_channel::{Receiver, Sender};
+use async_executor::Task;
+use comethitch::CommandId;
+use comethitch::time::Span;
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::rc::Rc;
+
+/// A statement as the client sent it, and where in it stands how long the client waits.
+pub struct Statement {
+    pub text: Vec<u8>,
+    pub wait_at: Range<usize>,
+}
+
+/// The final answer to a command.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// A value as a host gave it for this command.
+    Value(Vec<u8>),
+    Throttled(Option<Span>),
+    Failed,
+}
+
+struct Command {
+    statement: Rc<Statement>,
+    /// Gone once the final answer is given.
+    reply: Option<Sender<Reply>>,
+    dispatches: Vec<Option<Task<()>>>,
+}
+
+#[derive(Default)]
+pub struct Commands {
+    last: CommandId,
+    open: BTreeMap<CommandId, Command>,
+}
+
+impl Commands {
+    pub fn enter(&mut self, statement: Statement) -> (CommandId, Receiver<Reply>) {
+        self.last = self.last.wrapping_add(1);
+        let (sender, receiver) = async_channel::bounded(1);
+        let command = Command { statement: Rc::new(statement), reply: Some(sender), dispatches: Vec::new() };
+        self.open.insert(self.last, command);
+        (self.last, receiver)
+    }
+
+    pub fn statement(&self, id: CommandId) -> Option<Rc<Statement>> {
+        self.open.get(&id).map(|command| command.statement.clone())
+    }
+
+    /// The number that the command's next dispatch gets.
+    pub fn next_dispatch(&self, id: CommandId) -> u16 {
+        self.open.get(&id).map_or(0, |command| command.dispatches.len() as u16)
+    }
+
+    pub fn dispatched(&mut self, id: CommandId, task: Task<()>) {
+        match self.open.get_mut(&id) {
+            Some(command) => command.dispatches.push(Some(task)),
+            None => drop(task),
+        }
+    }
+
+    /// Gives the final answer, once; false if there was one before.
+    pub fn answer(&mut self, id: CommandId, reply: Reply) -> bool {
+        let sender = self.open.get_mut(&id).and_then(|command| command.reply.take());
+        let given = sender.is_some_and(|sender| sender.try_send(reply).is_ok());
+        self.forget(id);
+        given
+    }
+
+    /// The client is gone: no answer can be given any more.
+    pub fn abandon(&mut self, id: CommandId) {
+        if let Some(command) = self.open.get_mut(&id) {
+            command.reply = None;
+        }
+        self.forget(id);
+    }
+
+    pub fn is_over(&self, id: CommandId) -> bool {
+        self.open.get(&id).is_none_or(|command| command.reply.is_none())
+    }
+
+    /// Takes a dispatch that is still out, to end it or because it has ended.
+    pub fn take_dispatch(&mut self, id: CommandId, nth: u16) -> Option<Task<()>> {
+        let command = self.open.get_mut(&id)?;
+        command.dispatches.get_mut(usize::from(nth))?.take()
+    }
+
+    /// Forgets a command that is answered and has nothing out.
+    pub fn forget(&mut self, id: CommandId) {
+        let done = |c: &Command| c.reply.is_none() && c.dispatches.iter().all(Option::is_none);
+        if self.open.get(&id).is_some_and(done) {
+            self.open.remove(&id);
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/memory/connection.rs
@@ -0,0 +1,66 @@
+//! Connections to hosts, and the ways in which they can end.
+
+use crate::memory::buffer::Buffer;
+use crate::memory::clients::Permit;
+use async_io::Async;
+use comethitch::Ending;
+use comethitch::time::Time;
+use std::net::{SocketAddr, TcpStream};
+
+pub struct HostConnection {
+    pub stream: Async<TcpStream>,
+    pub buffer: Buffer,
+    pub dial: SocketAddr,
+    pub idle_since: Time,
+    pub permit: Permit,
+}
+
+impl HostConnection {
+    /// Whether nothing has come while it was idle: the end, an error or a stray message make it useless.
+    pub fn is_quiet(&self) -> bool {
+        let met = self.stream.get_ref().peek(&mut [0; 1]);
+        self.buffer.unread().is_empty() && met.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Every way in which a connection to a host, or its use for one query, can end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The value came whole.
+    Whole,
+    /// The host answered with this SQLSTATE.
+    Code(String),
+    /// There was no descriptor for one, or no such host: it was never tried.
+    NotTried,
+    /// It was refused, or broke before it could be used.
+    NeverUp,
+    /// It broke, or time ran out, before the query's last byte was written.
+    Unsent,
+    /// It broke or ended after that.
+    Broken,
+    /// What the host sent after that could not be understood.
+    Malformed,
+    /// Nothing more came until the router stopped waiting.
+    Silent,
+    /// The router gave the query up.
+    GivenUp,
+}
+
+impl ConnectionEnd {
+    /// What the module is told: the table in the protocol's page.
+    pub fn ending(&self) -> Ending {
+        match self {
+            ConnectionEnd::Whole => Ending::Answered,
+            ConnectionEnd::Code(code) => match code.as_str() {
+                "25006" | "72000" => Ending::Miss,
+                "53300" => Ending::Full,
+                _ => Ending::Error,
+            },
+            ConnectionEnd::NotTried => Ending::Moot,
+            ConnectionEnd::NeverUp | ConnectionEnd::Unsent => Ending::NoConnection,
+            ConnectionEnd::Broken | ConnectionEnd::Malformed => Ending::Reset,
+            ConnectionEnd::Silent => Ending::TimedOut,
+            ConnectionEnd::GivenUp => Ending::Cancelled,
+        }
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/memory/list.rs
@@ -0,0 +1,47 @@
+//! The list of hosts as last told: here only where each is dialled; all else is the module's.
+
+use crate::wire::discovery::Listing;
+use comethitch::{Host, Lifecycle};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Default)]
+pub struct List {
+    pub seq: u64,
+    hosts: BTreeMap<Host, (String, SocketAddr)>,
+}
+
+impl List {
+    /// Takes in what was told, and returns the hosts that have gone or moved.
+    pub fn take(&mut self, listing: &Listing) -> Vec<Host> {
+        self.seq = listing.seq;
+        let named = |host: &Host| listing.entries.iter().any(|entry| entry.host == *host);
+        let mut left: Vec<Host> = match listing.whole {
+            true => self.hosts.keys().copied().filter(|host| !named(host)).collect(),
+            false => Vec::new(),
+        };
+        for entry in &listing.entries {
+            let before = self.hosts.insert(entry.host, (entry.name.clone(), entry.dial));
+            let moved = before.as_ref().is_some_and(|(_, dial)| *dial != entry.dial);
+            if before.is_some_and(|(name, _)| name != entry.name) {
+                log::error!("two names of hosts have one number: {} hides the other", entry.name);
+            }
+            if moved || entry.lifecycle == Lifecycle::Gone {
+                left.push(entry.host);
+            }
+        }
+        left
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    pub fn dial(&self, host: Host) -> Option<SocketAddr> {
+        self.hosts.get(&host).map(|(_, dial)| *dial)
+    }
+
+    pub fn name(&self, host: Host) -> &str {
+        self.hosts.get(&host).map_or("unlisted", |(name, _)| name)
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/memory/pool.rs
@@ -0,0 +1,69 @@
+//! Idle connections to hosts, kept to be used again.
+
+use crate::memory::connection::HostConnection;
+use comethitch::Host;
+use comethitch::time::{Span, Time};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+pub struct Pool {
+    /// Kept no longer than this: the host closes what has been idle for its own limit.
+    longest: Span,
+    idle: BTreeMap<Host, Vec<HostConnection>>,
+}
+
+impl Pool {
+    pub fn new(host_limit: Span) -> Pool {
+        Pool { longest: host_limit / 4 * 3, idle: BTreeMap::new() }
+    }
+
+    /// The one used last, so that the others age out; what is old, moved or broken is closed on the way.
+    pub fn take(&mut self, host: Host, dial: SocketAddr, now: Time) -> Option<HostConnection> {
+        let idle = self.idle.get_mut(&host)?;
+        while let Some(connection) = idle.pop() {
+            let young = now - connection.idle_since < self.longest;
+            if young && connection.dial == dial && connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    pub fn put(&mut self, host: Host, mut connection: HostConnection, now: Time) {
+        connection.idle_since = now;
+        self.idle.entry(host).or_default().push(connection);
+    }
+
+    pub fn close(&mut self, host: Host) {
+        self.idle.remove(&host);
+    }
+
+    /// Closes what has been idle too long, and forgets hosts without any.
+    pub fn sweep(&mut self, now: Time) {
+        let longest = self.longest;
+        self.idle.retain(|_, idle| {
+            idle.retain(|connection| now - connection.idle_since < longest);
+            !idle.is_empty()
+        });
+    }
+
+    /// Closes the one that has been idle longest of all, to free its descriptor.
+    pub fn shed(&mut self) -> bool {
+        let oldest = |(host, idle): (&Host, &Vec<HostConnection>)| {
+            idle.first().map(|connection| (connection.idle_since, *host))
+        };
+        let Some((_, host)) = self.idle.iter().filter_map(oldest).min() else { return false };
+        self.idle.get_mut(&host).is_some_and(|idle| {
+            idle.remove(0);
+            true
+        })
+    }
+
+    pub fn len(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/service/configuration.rs
@@ -0,0 +1,153 @@
+//! The one place where the configuration is read, checked and given defaults.
+
+use crate::wire::discovery::{Listing, listing_of};
+use comethitch::Deployment;
+use comethitch::time::Span;
+use serde_json::Value;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Where a router runs, within which limits, and what it knows as it starts.
+#[derive(Debug)]
+pub struct Site {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub memory_mb: u64,
+    pub sockets: usize,
+    pub known: Listing,
+    pub deployment: Deployment,
+    /// The command groups' names, in the module's order.
+    pub groups: Vec<String>,
+    pub zones: Vec<String>,
+    /// After this long a host closes an idle connection.
+    pub host_idle: Span,
+}
+
+/// The fewest descriptors, and the least memory, that a router can work with.
+const FEWEST_SOCKETS: u64 = 64;
+const LEAST_MEMORY_MB: u64 = 32;
+
+impl Site {
+    /// Reads the file; what it lacks of name and addresses is taken from `variable`.
+    pub fn load(path: &Path, variable: impl Fn(&str) -> Option<String>) -> Result<Site, String> {
+        let shown = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown} can't be read: {e}"))?;
+        Site::read(&text, variable).map_err(|e| format!("{shown}: {e}"))
+    }
+
+    pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Site, String> {
+        let all: Value = serde_json::from_str(text).map_err(|e| format!("this is no JSON: {e}"))?;
+        let all = Keys(&all);
+        let or_variable = |key: &str, name: &str| match all.at(key) {
+            Some(_) => all.text(key),
+            None => variable(name).ok_or_else(|| format!("{key} is missing, and {name} is not set")),
+        };
+        let address = |key: &str, name: &str| -> Result<SocketAddr, String> {
+            let text = or_variable(key, name)?;
+            let wanted = || format!("{key} must be an address with a port, not {text:?}");
+            text.parse().map_err(|_| wanted())
+        };
+        let seed = all.text("seed")?;
+        let zones = all.names("settings.dcs", None)?;
+        let known = match all.at("known") {
+            Some(known) => listing_of(known, &zones).map_err(|e| format!("known.{e}"))?,
+            None => Listing { whole: true, ..Listing::default() },
+        };
+        let mut lines = String::new();
+        flatten(&mut lines, "", all.at("settings").ok_or("settings is missing")?);
+        let deployment = Deployment::read(&lines).map_err(|e| format!("settings.{e}"))?;
+        let mut spans = vec![
+            ("tick_us".to_string(), deployment.beat),
+            ("permissions.connect_timeout_us".into(), deployment.connect_timeout),
+            ("rules.fall_us".into(), deployment.fall_span),
+        ];
+        for (i, group) in deployment.groups.iter().enumerate() {
+            spans.push((format!("classes.{i}.target_us"), group.target));
+            spans.push((format!("classes.{i}.deadline_us"), group.timeout));
+        }
+        if let Some((key, _)) = spans.iter().find(|(_, span)| *span == Span(0)) {
+            return Err(format!("settings.{key} must be 1 or more"));
+        }
+        let groups = all.names("settings.classes", Some("name"))?;
+        if groups.is_empty() {
+            return Err("settings.classes must name one command group or more".into());
+        }
+        Ok(Site {
+            name: or_variable("name", "RELAY_NAME")?,
+            listen: address("listen", "RELAY_LISTEN")?,
+            discovery: address("discovery", "RELAY_DISCOVERY")?,
+            seed: u64::from_str_radix(&seed, 16)
+                .map_err(|_| format!("seed must be up to 16 hexadecimal digits, not {seed:?}"))?,
+            memory_mb: all.number("limits.memory_mb", LEAST_MEMORY_MB, Some(192))?,
+            sockets: all.number("limits.sockets", FEWEST_SOCKETS, Some(1024))? as usize,
+            known,
+            deployment,
+            groups,
+            zones,
+            host_idle: Span(all.number("settings.permissions.conn_idle_us", 1, Some(30_000_000))?),
+        })
+    }
+}
+
+/// A JSON object whose values are named by paths.
+struct Keys<'a>(&'a Value);
+
+impl<'a> Keys<'a> {
+    fn at(&self, path: &str) -> Option<&'a Value> {
+        path.split('.').try_fold(self.0, |value, key| value.get(key)).filter(|value| !value.is_null())
+    }
+
+    fn text(&self, path: &str) -> Result<String, String> {
+        let value = self.at(path).ok_or_else(|| format!("{path} is missing"))?;
+        value.as_str().map(String::from).ok_or_else(|| format!("{path} must be a text, not {value}"))
+    }
+
+    fn number(&self, path: &str, least: u64, otherwise: Option<u64>) -> Result<u64, String> {
+        let Some(value) = self.at(path) else {
+            return otherwise.ok_or_else(|| format!("{path} is missing"));
+        };
+        let wanted = || format!("{path} must be a whole number of {least} or more, not {value}");
+        value.as_u64().filter(|number| *number >= least).ok_or_else(wanted)
+    }
+
+    /// A list of texts, or of objects that each hold one under `key`.
+    fn names(&self, path: &str, key: Option<&str>) -> Result<Vec<String>, String> {
+        let list = self.at(path).ok_or_else(|| format!("{path} is missing"))?;
+        let list = list.as_array().ok_or_else(|| format!("{path} must be a list"))?;
+        let name = |(i, item): (usize, &Value)| {
+            let (value, dot) = match key {
+                Some(key) => (&item[key], format!(".{key}")),
+                None => (item, String::new()),
+            };
+            value.as_str().map(String::from).ok_or_else(|| format!("{path}.{i}{dot} must be a text"))
+        };
+        list.iter().enumerate().map(name).collect()
+    }
+}
+
+/// Nested JSON as the lines that the module's own reader takes: `a.b=value`, plain lists joined by commas,
+/// lists of objects numbered, with their length under `count`.
+fn flatten(lines: &mut String, path: &str, value: &Value) {
+    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    let plain = |value: &Value| match value {
+        Value::String(text) => text.replace([' ', ',', '\n'], "_"),
+        other => other.to_string(),
+    };
+    match value {
+        Value::Object(map) => map.iter().for_each(|(key, value)| flatten(lines, &below(key), value)),
+        Value::Array(items) if items.first().is_some_and(Value::is_object) => {
+            let _ = writeln!(lines, "{}={}", below("count"), items.len());
+            items.iter().enumerate().for_each(|(i, item)| flatten(lines, &below(&i.to_string()), item));
+        }
+        Value::Array(items) => {
+            let joined = items.iter().map(plain).collect::<Vec<_>>().join(",");
+            let _ = writeln!(lines, "{path}={joined}");
+        }
+        value => {
+            let _ = writeln!(lines, "{path}={}", plain(value));
+        }
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -0,0 +1,202 @@
+//! What one running router holds, shared by all its tasks on their one thread.
+
+use crate::memory::clients::{Clients, Descriptors, Permit};
+use crate::memory::commands::Commands;
+use crate::memory::list::List;
+use crate::memory::pool::Pool;
+use crate::service::clock::Clock;
+use crate::service::configuration::Site;
+use crate::stages::route::{self, Acts};
+use crate::wire::discovery::Listing;
+use crate::wire::postgres::LARGEST_MESSAGE;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use comethitch::time::{Span, Time};
+use comethitch::{Ending, Router};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// Descriptors that are no connections of clients or hosts: standard streams, poller, signals, listener,
+/// discovery, the log.
+const OTHER_DESCRIPTORS: usize = 24;
+/// Memory that is no connection's buffer.
+const OTHER_MEMORY: u64 = 24 << 20;
+
+/// Raised once; any number of tasks can wait for it.
+pub struct Flag(Sender<()>, Receiver<()>);
+
+impl Default for Flag {
+    fn default() -> Flag {
+        let (sender, receiver) = async_channel::bounded(1);
+        Flag(sender, receiver)
+    }
+}
+
+impl Flag {
+    pub fn raise(&self) {
+        self.0.close();
+    }
+
+    pub fn is_raised(&self) -> bool {
+        self.0.is_closed()
+    }
+
+    pub async fn raised(&self) {
+        let _ = self.1.recv().await;
+    }
+}
+
+/// Counts since the last line of the log that told them.
+#[derive(Default)]
+pub struct Tally {
+    pub taken: Cell<u64>,
+    pub answered: Cell<u64>,
+    pub throttled: Cell<u64>,
+    pub failed: Cell<u64>,
+    pub left: Cell<u64>,
+    pub rejected: Cell<u64>,
+    pub probes: Cell<u64>,
+    pub probes_failed: Cell<u64>,
+    pub connected: Cell<u64>,
+    pub endings: RefCell<Vec<(Ending, u64)>>,
+}
+
+pub fn count(of: &Cell<u64>) {
+    of.set(of.get() + 1);
+}
+
+impl Tally {
+    pub fn ended(&self, ending: Ending) {
+        let mut endings = self.endings.borrow_mut();
+        match endings.iter_mut().find(|(known, _)| *known == ending) {
+            Some((_, number)) => *number += 1,
+            None => endings.push((ending, 1)),
+        }
+    }
+
+    /// What was counted, in words, and from nothing again; none if nothing was.
+    pub fn told(&self) -> Option<String> {
+        let named = [
+            ("taken", &self.taken),
+            ("answered", &self.answered),
+            ("throttled", &self.throttled),
+            ("failed", &self.failed),
+            ("clients left", &self.left),
+            ("not understood", &self.rejected),
+            ("probes", &self.probes),
+            ("probes failed", &self.probes_failed),
+            ("connected", &self.connected),
+        ];
+        let counts = named.into_iter().map(|(name, cell)| (name.to_string(), cell.take()));
+        let endings =
+            self.endings.take().into_iter().map(|(e, number)| (format!("dispatches {e:?}"), number));
+        let told: Vec<String> = counts
+            .chain(endings)
+            .filter(|(_, number)| *number > 0)
+            .map(|(name, number)| format!("{name} {number}"))
+            .collect();
+        (!told.is_empty()).then(|| told.join(", "))
+    }
+}
+
+pub struct Daemon {
+    pub site: Site,
+    pub clock: Clock,
+    pub tasks: LocalExecutor<'static>,
+    pub router: RefCell<Router>,
+    pub commands: RefCell<Commands>,
+    pub pool: RefCell<Pool>,
+    pub list: RefCell<List>,
+    pub clients: Clients,
+    pub descriptors: Descriptors,
+    /// The list is held: clients may come.
+    pub ready: Flag,
+    pub tally: Tally,
+    seen: Cell<Time>,
+    /// When the router last stood still, if it ever did: from, and until.
+    stood: Cell<(Time, Time)>,
+}
+
+impl Daemon {
+    pub fn start(mut site: Site, clock: Clock) -> Rc<Daemon> {
+        let by_memory = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY) / LARGEST_MESSAGE as u64;
+        let connections = (site.sockets - OTHER_DESCRIPTORS).min(by_memory as usize);
+        let known = std::mem::take(&mut site.known);
+        let mut acts = Acts::at(clock.now());
+        let router = Router::start(site.deployment.clone(), site.seed, &mut acts);
+        let daemon = Rc::new(Daemon {
+            clock,
+            tasks: LocalExecutor::new(),
+            router: RefCell::new(router),
+            commands: RefCell::default(),
+            pool: RefCell::new(Pool::new(site.host_idle)),
+            list: RefCell::default(),
+            clients: Clients::default(),
+            descriptors: Descriptors::new(connections),
+            ready: Flag::default(),
+            tally: Tally::default(),
+            seen: Cell::new(clock.now()),
+            stood: Cell::default(),
+            site,
+        });
+        route::carry_out(&daemon, acts);
+        if !known.entries.is_empty() {
+            daemon.listed(&known);
+        }
+        daemon
+    }
+
+    /// Takes in what discovery told.
+    pub fn listed(self: &Rc<Self>, listing: &Listing) {
+        let left = self.list.borrow_mut().take(listing);
+        left.iter().for_each(|host| self.pool.borrow_mut().close(*host));
+        route::decide(self, |router, out| {
+            router.list_starts(listing.whole);
+            for entry in &listing.entries {
+                let (power, started) = (entry.power, entry.started);
+                let (zone, shard, lifecycle) = (entry.zone, entry.shard, entry.lifecycle);
+                router.listed(entry.host, zone, shard, lifecycle, entry.heads, power, started, out);
+            }
+            router.list_ends(out);
+        });
+    }
+
+    /// The present. Gaps between calls show that the router stood still: it wakes at every beat.
+    pub fn now(&self) -> Time {
+        let now = self.clock.now();
+        let beat = self.site.deployment.beat.max(self.shortest_target() / 16);
+        if now - self.seen.get() > beat * 2 {
+            self.stood.set((self.seen.get(), now));
+        }
+        self.seen.set(now);
+        now
+    }
+
+    /// When bytes that are read now came in: if the router stood still, perhaps as that began.
+    pub fn arrival(&self) -> Time {
+        let now = self.now();
+        let (from, until) = self.stood.get();
+        if now - until < self.site.deployment.beat { from.max(Time(1)) } else { now }
+    }
+
+    fn shortest_target(&self) -> Span {
+        self.site.deployment.groups.iter().map(|group| group.target).min().unwrap_or_default()
+    }
+
+    /// The longest that any client waits.
+    pub fn longest_timeout(&self) -> Span {
+        self.site.deployment.groups.iter().map(|group| group.timeout).max().unwrap_or_default()
+    }
+
+    /// A descriptor for one more connection; if all are in use, an idle connection to a host makes room, or
+    /// a client's idle connection is asked to.
+    pub fn descriptor(&self) -> Option<Permit> {
+        self.descriptors.take().or_else(|| {
+            if self.pool.borrow_mut().shed() {
+                return self.descriptors.take();
+            }
+            self.clients.shed();
+            None
+        })
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/service/listen.rs
@@ -0,0 +1,122 @@
+//! Listens from start to stop.
+
+use crate::service::clock::{Clock, duration};
+use crate::service::configuration::Site;
+use crate::service::daemon::Daemon;
+use crate::service::watch;
+use crate::stages::take_in;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use std::future::Future;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// With a list from its configuration a router waits this long for discovery's own, then serves with that.
+const FIRST_LIST: Duration = Duration::from_secs(1);
+/// After the signal to stop, new connections still come for up to 0.4 s.
+const STILL_COMING: Duration = Duration::from_millis(500);
+/// How much longer than its longest command a router may take to stop.
+const LAST_WORDS: Duration = Duration::from_millis(600);
+/// While no descriptor is free, nothing is accepted for this long.
+const PAUSE: Duration = Duration::from_millis(5);
+/// Of the descriptors, clients get this part at most; the rest is for hosts.
+const CLIENTS_PART: (usize, usize) = (3, 4);
+const SWEEP: Duration = Duration::from_secs(1);
+const SWEEPS_TOLD: u32 = 10;
+
+/// Serves until SIGTERM or SIGINT.
+pub fn run(site: Site, clock: Clock) -> Result<(), String> {
+    async_io::block_on(async {
+        let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+        let stop = async {
+            signals.next().await;
+        };
+        serve(Daemon::start(site, clock), stop).await
+    })
+}
+
+/// Serves until `stop` is through, then answers what was taken and what still comes.
+pub async fn serve(daemon: Rc<Daemon>, stop: impl Future<Output = ()>) -> Result<(), String> {
+    let address = daemon.site.listen;
+    let listener =
+        Async::<TcpListener>::bind(address).map_err(|e| format!("can't listen on {address}: {e}"))?;
+    log::info!("{} listens on {address}", daemon.site.name);
+    daemon.tasks.spawn(watch::follow(daemon.clone())).detach();
+    daemon.tasks.spawn(sweep(daemon.clone())).detach();
+    if daemon.list.borrow().seq > 0 || !daemon.list.borrow().is_empty() {
+        let held = daemon.clone();
+        let first = async move {
+            Timer::after(FIRST_LIST).await;
+            held.ready.raise();
+        };
+        daemon.tasks.spawn(first).detach();
+    }
+    let work = async {
+        stop.or(accept(&daemon, &listener)).await;
+        log::info!("asked to stop: {} connections, {} commands", daemon.clients.len(), in_hand(&daemon));
+        let coming = async {
+            Timer::after(STILL_COMING).await;
+        };
+        coming.or(accept(&daemon, &listener)).await;
+        drop(listener);
+        daemon.clients.close_all();
+        let through = async {
+            while !daemon.clients.is_empty() {
+                Timer::after(PAUSE).await;
+            }
+        };
+        let late = async {
+            Timer::after(duration(daemon.longest_timeout()) + LAST_WORDS - STILL_COMING).await;
+        };
+        through.or(late).await;
+        log::info!("stopped with {} commands in hand", in_hand(&daemon));
+    };
+    daemon.tasks.run(work).await;
+    Ok(())
+}
+
+fn in_hand(daemon: &Daemon) -> usize {
+    daemon.commands.borrow().len()
+}
+
+/// Accepts for ever.
+async fn accept(daemon: &Rc<Daemon>, listener: &Async<TcpListener>) {
+    let most = daemon.descriptors.most() * CLIENTS_PART.0 / CLIENTS_PART.1;
+    loop {
+        if daemon.clients.len() >= most {
+            daemon.clients.shed();
+            Timer::after(PAUSE).await;
+            continue;
+        }
+        let Some(permit) = daemon.descriptor() else {
+            Timer::after(PAUSE).await;
+            continue;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                daemon.tasks.spawn(take_in::serve(daemon.clone(), stream, permit)).detach();
+            }
+            Err(error) => {
+                log::warn!("a connection could not be accepted: {error}");
+                Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Closes what has been idle too long, and tells now and then what was done.
+async fn sweep(daemon: Rc<Daemon>) {
+    for round in 1.. {
+        Timer::after(SWEEP).await;
+        daemon.pool.borrow_mut().sweep(daemon.clock.now());
+        if round % SWEEPS_TOLD == 0
+            && let Some(told) = daemon.tally.told()
+        {
+            let (clients, kept) = (daemon.clients.len(), daemon.pool.borrow().len());
+            let (used, hand) = (daemon.descriptors.used(), in_hand(&daemon));
+            log::info!("{told}; now {hand} in hand, {clients} clients, {kept} kept of {used} connections");
+        }
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/stages/relay.rs
@@ -0,0 +1,41 @@
+//! Fifth stage: the one final answer, to the command's client.
+
+use crate::memory::commands::Reply;
+use crate::service::daemon::{Daemon, count};
+use crate::wire::postgres;
+use comethitch::CommandId;
+
+/// Gives the final answer if none was given yet.
+pub fn answer(daemon: &Daemon, id: CommandId, reply: Reply) -> bool {
+    let counter = match &reply {
+        Reply::Value(_) => &daemon.tally.answered,
+        Reply::Throttled(_) => &daemon.tally.throttled,
+        Reply::Failed => &daemon.tally.failed,
+    };
+    let given = daemon.commands.borrow_mut().answer(id, reply);
+    if given {
+        count(counter);
+    }
+    given
+}
+
+/// The answer as the client reads it, short of ReadyForQuery.
+pub fn put_reply(out: &mut Vec<u8>, reply: &Reply) {
+    match reply {
+        Reply::Value(value) => out.extend(value),
+        Reply::Throttled(retry_after) => {
+            let advice = retry_after.map(|after| after.0.div_ceil(1_000).to_string());
+            postgres::put_error(
+                out,
+                "ERROR",
+                "53300",
+                "not now; trying again is harmless",
+                advice.as_deref(),
+            );
+        }
+        Reply::Failed => {
+            let text = "failed; nothing is known of its effect";
+            postgres::put_error(out, "ERROR", "40003", text, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/stages/send.rs
@@ -0,0 +1,191 @@
+//! Fourth stage: one dispatch, or one probe, on a connection to a host.
+
+use crate::memory::buffer::Buffer;
+use crate::memory::commands::Statement;
+use crate::memory::connection::{ConnectionEnd, HostConnection};
+use crate::service::clock::duration;
+use crate::service::daemon::{Daemon, count};
+use crate::stages::{book, route};
+use crate::wire::postgres::{self, Answer, LARGEST_MESSAGE};
+use crate::wire::standing;
+use async_io::{Async, Timer};
+use comethitch::time::Span;
+use comethitch::{CommandId, Host, Standing};
+use futures_lite::{AsyncWriteExt, FutureExt};
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How a dispatch ended, and what its answer told.
+pub struct Outcome {
+    pub end: ConnectionEnd,
+    pub noted: Standing,
+    pub reported: Standing,
+    pub value: Vec<u8>,
+}
+
+impl Outcome {
+    pub fn given_up() -> Outcome {
+        Err(ConnectionEnd::GivenUp).into()
+    }
+}
+
+impl From<Result<Answer, ConnectionEnd>> for Outcome {
+    fn from(ended: Result<Answer, ConnectionEnd>) -> Outcome {
+        match ended {
+            Ok(answer) => Outcome {
+                noted: standing::noted(&answer),
+                reported: answer.vitals.as_deref().map(standing::reported).unwrap_or_default(),
+                end: match answer.code {
+                    Some(code) => ConnectionEnd::Code(code),
+                    None if answer.whole() => ConnectionEnd::Whole,
+                    None => ConnectionEnd::Malformed,
+                },
+                value: answer.value,
+            },
+            Err(end) => {
+                Outcome { end, noted: Standing::default(), reported: Standing::default(), value: Vec::new() }
+            }
+        }
+    }
+}
+
+/// Starts the command's next dispatch.
+pub fn start(daemon: &Rc<Daemon>, id: CommandId, host: Host, time_out: Span) {
+    let mut commands = daemon.commands.borrow_mut();
+    let Some(statement) = commands.statement(id) else { return };
+    let nth = commands.next_dispatch(id);
+    let held = daemon.clone();
+    let task = daemon.tasks.spawn(async move {
+        let query = query(&statement, time_out);
+        let ended = within(&held, host, query, time_out).await;
+        book::ended(&held, id, nth, ended.into());
+    });
+    commands.dispatched(id, task);
+}
+
+/// The statement as it came, but for how long the router waits.
+fn query(statement: &Statement, time_out: Span) -> Vec<u8> {
+    let (before, after) =
+        (&statement.text[..statement.wait_at.start], &statement.text[statement.wait_at.end..]);
+    let mut out = Vec::with_capacity(statement.text.len() + 16);
+    postgres::put_query(&mut out, &[before, (time_out.0 / 1_000).to_string().as_bytes(), after]);
+    out
+}
+
+/// Asks a host how it stands. A probe waits no longer than a connection may take.
+pub fn probe(daemon: &Rc<Daemon>, host: Host) {
+    count(&daemon.tally.probes);
+    let held = daemon.clone();
+    let probe = async move {
+        let mut query = Vec::new();
+        postgres::put_query(&mut query, &[b"SHOW vitals"]);
+        let ended = within(&held, host, query, held.site.deployment.connect_timeout).await;
+        let row =
+            ended.as_ref().ok().and_then(|answer| answer.column().map(|text| standing::reported(&text)));
+        let outcome = Outcome::from(ended);
+        if outcome.end != ConnectionEnd::Whole {
+            count(&held.tally.probes_failed);
+            log::debug!("probe of {}: {:?}", held.list.borrow().name(host), outcome.end);
+        }
+        let told = row.unwrap_or(outcome.reported);
+        route::decide(&held, |router, out| router.probed(host, outcome.end.ending(), told, out));
+    };
+    daemon.tasks.spawn(probe).detach();
+}
+
+async fn within(
+    daemon: &Daemon, host: Host, query: Vec<u8>, time_out: Span,
+) -> Result<Answer, ConnectionEnd> {
+    if time_out == Span(0) {
+        return Err(ConnectionEnd::Unsent);
+    }
+    let written = Cell::new(false);
+    let late = async {
+        Timer::after(duration(time_out)).await;
+        Err(if written.get() { ConnectionEnd::Silent } else { ConnectionEnd::Unsent })
+    };
+    exchange(daemon, host, &query, &written).or(late).await
+}
+
+async fn exchange(
+    daemon: &Daemon, host: Host, query: &[u8], written: &Cell<bool>,
+) -> Result<Answer, ConnectionEnd> {
+    let dial = daemon.list.borrow().dial(host).ok_or(ConnectionEnd::NotTried)?;
+    let mut connection = loop {
+        let kept = daemon.pool.borrow_mut().take(host, dial, daemon.clock.now());
+        let fresh = kept.is_none();
+        let connection = match kept {
+            Some(kept) => kept,
+            None => connect(daemon, dial).await?,
+        };
+        match (&connection.stream).write_all(query).await {
+            Ok(()) => break connection,
+            // The host had closed a kept connection: nothing of this has run, another one will do.
+            Err(_) if !fresh => {}
+            Err(_) => return Err(ConnectionEnd::Unsent),
+        }
+    };
+    written.set(true);
+    let mut answer = Answer::default();
+    let ended = read(&mut connection, &mut answer).await;
+    if ended.is_ok() && answer.ready() && connection.buffer.unread().is_empty() {
+        daemon.pool.borrow_mut().put(host, connection, daemon.clock.now());
+    } else if !answer.whole() && answer.code.is_none() {
+        return Err(ended.err().unwrap_or(ConnectionEnd::Malformed));
+    }
+    Ok(answer)
+}
+
+/// Reads up to the host's word that it is ready.
+async fn read(connection: &mut HostConnection, answer: &mut Answer) -> Result<(), ConnectionEnd> {
+    loop {
+        while let Some(message) =
+            postgres::message(connection.buffer.unread()).map_err(|_| ConnectionEnd::Malformed)?
+        {
+            answer.take(&message).map_err(|_| ConnectionEnd::Malformed)?;
+            let length = message.raw.len();
+            connection.buffer.consume(length);
+            if answer.ready() {
+                return Ok(());
+            }
+        }
+        match connection.buffer.fill(&connection.stream).await {
+            Ok(0) | Err(_) => return Err(ConnectionEnd::Broken),
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Connects and lets the host greet, so that what breaks until then is known never to have run.
+async fn connect(daemon: &Daemon, dial: SocketAddr) -> Result<HostConnection, ConnectionEnd> {
+    let late = async {
+        Timer::after(duration(daemon.site.deployment.connect_timeout)).await;
+        Err(ConnectionEnd::NeverUp)
+    };
+    let open = async {
+        let permit = loop {
+            match daemon.descriptor() {
+                Some(permit) => break permit,
+                None => Timer::after(Duration::from_millis(2)).await,
+            };
+        };
+        let stream = Async::<TcpStream>::connect(dial).await.map_err(|_| ConnectionEnd::NeverUp)?;
+        count(&daemon.tally.connected);
+        let _ = stream.get_ref().set_nodelay(true);
+        let mut startup = Vec::new();
+        postgres::put_startup(&mut startup, "portal", "crm");
+        (&stream).write_all(&startup).await.map_err(|_| ConnectionEnd::NeverUp)?;
+        let buffer = Buffer::new(LARGEST_MESSAGE + 1);
+        let mut connection = HostConnection { stream, buffer, dial, idle_since: daemon.clock.now(), permit };
+        let mut greeting = Answer::default();
+        let greeted = read(&mut connection, &mut greeting).await;
+        match greeting.code {
+            Some(code) => Err(ConnectionEnd::Code(code)),
+            None if greeted.is_ok() => Ok(connection),
+            None => Err(ConnectionEnd::NeverUp),
+        }
+    };
+    open.or(late).await
+}
--- /dev/null
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -0,0 +1,221 @@
+//! First stage: a client's connection, from its startup message to its end.
+
+use crate::memory::buffer::Buffer;
+use crate::memory::clients::Permit;
+use crate::memory::commands::Reply;
+use crate::service::clock::duration;
+use crate::service::daemon::{Daemon, count};
+use crate::stages::{admit, relay, route};
+use crate::wire::postgres::{self, LARGEST_MESSAGE, Malformed, Opening};
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use comethitch::CommandId;
+use comethitch::time::{Span, Time};
+use futures_lite::{AsyncWriteExt, FutureExt};
+use std::io;
+use std::net::TcpStream;
+use std::rc::Rc;
+
+/// How often the hosts' own idle limit a client may let its connection lie idle.
+const CLIENT_IDLE: u64 = 10;
+
+struct Client {
+    daemon: Rc<Daemon>,
+    stream: Async<TcpStream>,
+    buffer: Buffer,
+    number: u32,
+    closing: Receiver<()>,
+    /// When the bytes read last came in.
+    arrived: Time,
+    /// A message that is not spoken here was met: all is skipped up to the next Sync.
+    skipping: bool,
+}
+
+/// Why a client's connection ends here.
+enum Stop {
+    Left,
+    Closing,
+    Lost(&'static str),
+    Io(io::Error),
+}
+
+impl From<Malformed> for Stop {
+    fn from(malformed: Malformed) -> Stop {
+        Stop::Lost(malformed.0)
+    }
+}
+
+impl From<io::Error> for Stop {
+    fn from(error: io::Error) -> Stop {
+        Stop::Io(error)
+    }
+}
+
+pub async fn serve(daemon: Rc<Daemon>, stream: Async<TcpStream>, permit: Permit) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let (number, closing) = daemon.clients.enter();
+    let (buffer, arrived) = (Buffer::new(LARGEST_MESSAGE + 1), daemon.now());
+    let mut client =
+        Client { daemon: daemon.clone(), stream, buffer, number, closing, arrived, skipping: false };
+    let stop = match client.open().await {
+        Ok(()) => client.converse().await,
+        Err(stop) => stop,
+    };
+    match stop {
+        Stop::Lost(why) => {
+            count(&daemon.tally.rejected);
+            log::debug!("client {number}: {why}");
+            let mut out = Vec::new();
+            postgres::put_error(&mut out, "FATAL", "08P01", why, None);
+            let _ = client.write(&out).await;
+        }
+        Stop::Io(error) => log::debug!("client {number}: {error}"),
+        Stop::Left | Stop::Closing => {}
+    }
+    daemon.clients.leave(number);
+    drop(permit);
+}
+
+impl Client {
+    async fn open(&mut self) -> Result<(), Stop> {
+        loop {
+            match postgres::opening(self.buffer.unread())? {
+                None => self.more().await?,
+                Some((Opening::Cancel, _)) => return Err(Stop::Left),
+                Some((Opening::Encryption, length)) => {
+                    self.buffer.consume(length);
+                    self.write(b"N").await?;
+                }
+                Some((Opening::Startup { minor }, length)) => {
+                    self.buffer.consume(length);
+                    let mut out = Vec::new();
+                    postgres::put_welcome(&mut out, minor, self.number);
+                    return self.write(&out).await;
+                }
+            }
+        }
+    }
+
+    async fn converse(&mut self) -> Stop {
+        loop {
+            if let Err(stop) = self.message().await {
+                return stop;
+            }
+        }
+    }
+
+    /// Reads more, while nothing of this client is in hand.
+    async fn more(&mut self) -> Result<(), Stop> {
+        let empty = self.buffer.unread().is_empty();
+        if empty {
+            self.daemon.clients.idles(self.number, Some(self.daemon.now()));
+        }
+        let (stream, closing) = (&self.stream, &self.closing);
+        let limit = duration(self.daemon.site.host_idle * if empty { CLIENT_IDLE } else { 1 });
+        let fill = async { Ok(self.buffer.fill(stream).await?) };
+        let close = async {
+            let _ = closing.recv().await;
+            // A command that has begun to come in is waited for.
+            if !empty {
+                std::future::pending::<()>().await;
+            }
+            Err(Stop::Closing)
+        };
+        let late = async {
+            Timer::after(limit).await;
+            Err(Stop::Closing)
+        };
+        let read = fill.or(close).or(late).await;
+        self.daemon.clients.idles(self.number, None);
+        if read? == 0 {
+            return Err(Stop::Left);
+        }
+        self.arrived = self.daemon.arrival();
+        Ok(())
+    }
+
+    async fn message(&mut self) -> Result<(), Stop> {
+        let Some(message) = postgres::message(self.buffer.unread())? else { return self.more().await };
+        let length = message.raw.len();
+        let mut out = Vec::new();
+        let query = match message.kind {
+            b'Q' => Some(postgres::query_text(message.body)?.to_vec()),
+            b'X' => return Err(Stop::Left),
+            b'S' => {
+                self.skipping = false;
+                postgres::put_ready(&mut out);
+                None
+            }
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'F' => {
+                if !std::mem::replace(&mut self.skipping, true) {
+                    let text = "only simple queries are spoken here";
+                    postgres::put_error(&mut out, "ERROR", "0A000", text, None);
+                }
+                None
+            }
+            b'H' | b'd' | b'c' | b'f' => None,
+            _ => return Err(Stop::Lost("a message of unknown type")),
+        };
+        self.buffer.consume(length);
+        match query.filter(|_| !self.skipping) {
+            Some(text) => self.query(text, out).await,
+            None if out.is_empty() => Ok(()),
+            None => self.write(&out).await,
+        }
+    }
+
+    async fn query(&mut self, text: Vec<u8>, mut out: Vec<u8>) -> Result<(), Stop> {
+        if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') {
+            self.daemon.ready.raised().await;
+            postgres::put_empty(&mut out);
+        } else if let Some(tag) = admit::session_statement(&text) {
+            postgres::put_complete(&mut out, tag);
+        } else {
+            match admit::admit(&self.daemon, text, self.arrived) {
+                Ok(admitted) => {
+                    let (id, reply) = route::take(&self.daemon, admitted);
+                    relay::put_reply(&mut out, &self.reply_to(id, reply).await?);
+                }
+                Err(rejected) => {
+                    count(&self.daemon.tally.rejected);
+                    log::debug!("client {}: {}", self.number, rejected.text);
+                    postgres::put_error(&mut out, "ERROR", rejected.code, &rejected.text, None);
+                }
+            }
+        }
+        postgres::put_ready(&mut out);
+        self.write(&out).await
+    }
+
+    /// Waits for the final answer, and notices if the client goes away before it.
+    async fn reply_to(&mut self, id: CommandId, reply: Receiver<Reply>) -> Result<Reply, Stop> {
+        loop {
+            let (stream, buffer) = (&self.stream, &mut self.buffer);
+            let answered = async { Ok(reply.recv().await.ok()) };
+            let read = async {
+                if buffer.is_full() {
+                    std::future::pending::<()>().await;
+                }
+                Err(buffer.fill(stream).await)
+            };
+            match answered.or(read).await {
+                Ok(Some(reply)) => return Ok(reply),
+                Err(Ok(length)) if length > 0 => self.arrived = self.daemon.arrival(),
+                Ok(None) | Err(_) => {
+                    route::left(&self.daemon, id);
+                    return Err(Stop::Left);
+                }
+            }
+        }
+    }
+
+    /// Writes within the longest time that a client waits.
+    async fn write(&self, bytes: &[u8]) -> Result<(), Stop> {
+        let mut stream = &self.stream;
+        let late = async {
+            Timer::after(duration(self.daemon.longest_timeout().max(Span(1)))).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        Ok(stream.write_all(bytes).or(late).await?)
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/wire/postgres.rs
@@ -0,0 +1,251 @@
+//! Framing of the PostgreSQL protocol, version 3, as a server to clients and as a client to hosts.
+
+use std::borrow::Cow;
+
+/// A value is at most 64 KiB; written as hexadecimal text it takes twice that, and the statement some more.
+pub const LARGEST_MESSAGE: usize = 2 * 64 * 1024 + 8 * 1024;
+const LARGEST_STARTUP: usize = 10_000;
+
+const VERSION_3: u32 = 3 << 16;
+const CANCEL: u32 = 80_877_102;
+const TLS: u32 = 80_877_103;
+const GSS: u32 = 80_877_104;
+
+/// Why bytes are no message: the framing is lost, and with it the connection.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// What a client opens a connection with.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Opening {
+    Startup {
+        minor: u16,
+    },
+    /// It asks for encryption, which is declined.
+    Encryption,
+    Cancel,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Message<'a> {
+    pub kind: u8,
+    pub body: &'a [u8],
+    /// The whole message as it came.
+    pub raw: &'a [u8],
+}
+
+fn u32_at(bytes: &[u8], at: usize) -> Option<u32> {
+    bytes.get(at..)?.first_chunk().map(|four| u32::from_be_bytes(*four))
+}
+
+/// The first message of a client, and its length; nothing if it is not whole yet.
+pub fn opening(bytes: &[u8]) -> Result<Option<(Opening, usize)>, Malformed> {
+    let Some(length) = u32_at(bytes, 0) else { return Ok(None) };
+    let length = length as usize;
+    if !(8..=LARGEST_STARTUP).contains(&length) {
+        return Err(Malformed("the startup message has an impossible length"));
+    }
+    if bytes.len() < length {
+        return Ok(None);
+    }
+    let opening = match u32_at(bytes, 4) {
+        Some(TLS | GSS) => Opening::Encryption,
+        Some(CANCEL) => Opening::Cancel,
+        Some(version) if version & 0xffff_0000 == VERSION_3 => Opening::Startup { minor: version as u16 },
+        _ => return Err(Malformed("only version 3 of the protocol is spoken")),
+    };
+    Ok(Some((opening, length)))
+}
+
+/// The next message; nothing if it is not whole yet.
+pub fn message(bytes: &[u8]) -> Result<Option<Message<'_>>, Malformed> {
+    let Some(length) = u32_at(bytes, 1) else { return Ok(None) };
+    let length = length as usize;
+    if !(4..=LARGEST_MESSAGE).contains(&length) {
+        return Err(Malformed("a message has an impossible length"));
+    }
+    let raw = bytes.get(..length + 1);
+    Ok(raw.map(|raw| Message { kind: raw[0], body: &raw[5..], raw }))
+}
+
+/// The text of a query: up to its zero byte, with nothing behind it.
+pub fn query_text(body: &[u8]) -> Result<&[u8], Malformed> {
+    match body.split_last() {
+        Some((0, text)) if !text.contains(&0) => Ok(text),
+        _ => Err(Malformed("a query does not end in its one zero byte")),
+    }
+}
+
+/// A message of this kind whose body the caller writes.
+fn put(out: &mut Vec<u8>, kind: u8, body: impl FnOnce(&mut Vec<u8>)) {
+    out.push(kind);
+    let at = out.len();
+    out.extend([0; 4]);
+    body(out);
+    let length = (out.len() - at) as u32;
+    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+fn put_text(out: &mut Vec<u8>, text: &str) {
+    out.extend(text.bytes().filter(|b| *b != 0));
+    out.push(0);
+}
+
+pub fn put_startup(out: &mut Vec<u8>, user: &str, database: &str) {
+    let at = out.len();
+    out.extend([0; 4]);
+    out.extend(VERSION_3.to_be_bytes());
+    [("user", user), ("database", database)].iter().for_each(|(name, value)| {
+        put_text(out, name);
+        put_text(out, value);
+    });
+    out.push(0);
+    let length = (out.len() - at) as u32;
+    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+/// Lets a client in, and tells it that it may ask.
+pub fn put_welcome(out: &mut Vec<u8>, minor: u16, number: u32) {
+    if minor > 0 {
+        put(out, b'v', |out| out.extend([VERSION_3.to_be_bytes(), [0; 4]].concat()));
+    }
+    put(out, b'R', |out| out.extend([0; 4]));
+    let told = [
+        ("server_version", "16.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("standard_conforming_strings", "on"),
+        ("integer_datetimes", "on"),
+    ];
+    for (name, value) in told {
+        put(out, b'S', |out| {
+            put_text(out, name);
+            put_text(out, value);
+        });
+    }
+    put(out, b'K', |out| out.extend([number.to_be_bytes(), [0; 4]].concat()));
+    put_ready(out);
+}
+
+pub fn put_ready(out: &mut Vec<u8>) {
+    put(out, b'Z', |out| out.push(b'I'));
+}
+
+pub fn put_empty(out: &mut Vec<u8>) {
+    put(out, b'I', |_| ());
+}
+
+pub fn put_complete(out: &mut Vec<u8>, tag: &str) {
+    put(out, b'C', |out| put_text(out, tag));
+}
+
+pub fn put_error(out: &mut Vec<u8>, severity: &str, code: &str, text: &str, detail: Option<&str>) {
+    put(out, b'E', |out| {
+        let fields = [(b'S', severity), (b'V', severity), (b'C', code), (b'M', text)];
+        for (field, value) in fields.into_iter().chain(detail.map(|detail| (b'D', detail))) {
+            out.push(field);
+            put_text(out, value);
+        }
+        out.push(0);
+    });
+}
+
+/// A query from parts that are written one behind the other.
+pub fn put_query(out: &mut Vec<u8>, parts: &[&[u8]]) {
+    put(out, b'Q', |out| {
+        parts.iter().for_each(|part| out.extend(*part));
+        out.push(0);
+    });
+}
+
+/// What a host has answered so far to one query, or to the startup message.
+#[derive(Debug, Default)]
+pub struct Answer {
+    pub rank: Option<String>,
+    pub as_of: Option<String>,
+    pub vitals: Option<String>,
+    pub code: Option<String>,
+    /// RowDescription, DataRow and CommandComplete as they came.
+    pub value: Vec<u8>,
+    row: Option<std::ops::Range<usize>>,
+    stage: Stage,
+}
+
+#[derive(Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    #[default]
+    Begun,
+    Described,
+    Row,
+    Complete,
+    Ready,
+}
+
+impl Answer {
+    /// Takes in the host's next message; the framing held, but what it means must follow what came before.
+    pub fn take(&mut self, message: &Message<'_>) -> Result<(), Malformed> {
+        let next = match (message.kind, &self.stage) {
+            (b'N' | b'A' | b'K' | b'v', _) => return Ok(()),
+            (b'S', _) => return self.told(message.body),
+            (b'R', Stage::Begun) if message.body == [0; 4] => return Ok(()),
+            (b'R', _) => return Err(Malformed("the host asks for a password")),
+            (b'E', _) => {
+                let code = error_code(message.body).ok_or(Malformed("an error without a code"))?;
+                self.code = Some(code.into_owned());
+                return Ok(());
+            }
+            (b'I', Stage::Begun) => Stage::Complete,
+            (b'T', Stage::Begun) => Stage::Described,
+            (b'D', Stage::Described) => Stage::Row,
+            (b'C', Stage::Begun | Stage::Row) => Stage::Complete,
+            (b'Z', stage) if *stage == Stage::Complete || self.code.is_some() => Stage::Ready,
+            (b'Z', Stage::Begun) => Stage::Ready,
+            _ => return Err(Malformed("a message out of its order")),
+        };
+        if next == Stage::Row {
+            self.row = Some(self.value.len() + 5..self.value.len() + message.raw.len());
+        }
+        if next != Stage::Ready {
+            self.value.extend(message.raw);
+        }
+        self.stage = next;
+        Ok(())
+    }
+
+    fn told(&mut self, body: &[u8]) -> Result<(), Malformed> {
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let mut parts = body.split(|b| *b == 0);
+        let (Some(name), Some(value)) = (parts.next(), parts.next()) else {
+            return Err(Malformed("a ParameterStatus without a value"));
+        };
+        match name {
+            b"rank" => self.rank = Some(text(value)),
+            b"as_of" => self.as_of = Some(text(value)),
+            b"vitals" => self.vitals = Some(text(value)),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// The host has nothing more to say, and the connection can carry the next query.
+    pub fn ready(&self) -> bool {
+        self.stage == Stage::Ready
+    }
+
+    /// The value is whole, whether or not anything follows it.
+    pub fn whole(&self) -> bool {
+        self.row.is_some() && self.stage >= Stage::Complete && self.code.is_none()
+    }
+
+    /// The text of the row's one column.
+    pub fn column(&self) -> Option<Cow<'_, str>> {
+        let row = &self.value[self.row.clone()?];
+        let length = u32_at(row, 2)? as usize;
+        row.get(6..)?.get(..length).map(String::from_utf8_lossy)
+    }
+}
+
+fn error_code(body: &[u8]) -> Option<Cow<'_, str>> {
+    let mut fields = body.split(|b| *b == 0).filter_map(|field| field.split_first());
+    fields.find(|(name, _)| **name == b'C').map(|(_, code)| String::from_utf8_lossy(code))
+}
--- /dev/null
+++ b/crates/comethitchd/src/wire/standing.rs
@@ -0,0 +1,49 @@
+//! What a host says of its role and position.
+
+use crate::wire::postgres::Answer;
+use comethitch::time::{Span, Time};
+use comethitch::{Role, Standing};
+
+/// Positions are told in milliseconds; what is written with fewer digits has lost zeros at its end.
+const RESOLUTION: u64 = 1_000;
+
+/// What an answer's parameters say of the host at that moment.
+pub fn noted(answer: &Answer) -> Standing {
+    let role = match answer.rank.as_deref() {
+        Some("source") => Some(Role::Primary),
+        Some("copy") => Some(Role::Replica),
+        _ => None,
+    };
+    let position = answer.as_of.as_deref().and_then(|text| text.parse::<u64>().ok());
+    Standing { role, position: position.filter(|ms| *ms > 0).map(|ms| Time(ms.saturating_mul(1_000))) }
+}
+
+/// What a report such as `x0=1767225600.123,x1=0,queue=4` says: the position in seconds, and the role.
+///
+/// ```
+/// use comethitch::{Role, time::Time};
+/// let standing = comethitchd::wire::standing::reported("queue=4,x0=1767225600.12,x1=1");
+/// assert_eq!(standing.position, Some(Time(1_767_225_600_119_000)), "never newer than it was");
+/// assert_eq!(standing.role, Some(Role::Primary));
+/// ```
+pub fn reported(text: &str) -> Standing {
+    let fields = || text.split(',').filter_map(|field| field.trim().split_once('='));
+    let value = |wanted: &str| fields().find(|(name, _)| *name == wanted).map(|(_, value)| value);
+    let role = value("x1").and_then(|x1| x1.parse::<f64>().ok()).map(|x1| match x1 >= 0.5 {
+        true => Role::Primary,
+        false => Role::Replica,
+    });
+    Standing { role, position: value("x0").and_then(seconds) }
+}
+
+/// Decimal seconds, less one unit of the resolution: they may have been rounded up.
+fn seconds(text: &str) -> Option<Time> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, ""));
+    let digits = |text: &str| text.bytes().all(|b| b.is_ascii_digit());
+    if whole.is_empty() || !digits(whole) || !digits(part) {
+        return None;
+    }
+    let whole = whole.parse::<u64>().ok()?.checked_mul(1_000_000)?;
+    let part: u64 = format!("{part:0<6}").get(..6)?.parse().ok()?;
+    Some(Time(whole + part) - Span(RESOLUTION)).filter(|at| *at > Time(0))
+}
--- /dev/null
+++ b/crates/comethitchd/src/wire/statement.rs
@@ -0,0 +1,76 @@
+//! The comment that a client's statement begins with.
+
+use std::ops::Range;
+
+/// What the comment says; the statement itself is passed on as it came, but for the value of `d`.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Comment<'a> {
+    pub group: &'a str,
+    /// For how many milliseconds the client waits, and where that stands in the statement.
+    pub wait_ms: u64,
+    pub wait_at: Range<usize>,
+    pub shard: u16,
+    /// The commit that a session's read must see, in milliseconds of Unix time.
+    pub after_ms: Option<u64>,
+}
+
+/// Reads `/* id=9b1f,c=basket,d=480,cluster=2 */ SELECT …`: the fields in any order, unknown ones let be.
+///
+/// ```
+/// use comethitchd::wire::statement::comment;
+/// let text = b"/* d=480,id=9b1f,cluster=2,c=basket,x=1 */ SELECT 1";
+/// let comment = comment(text).unwrap();
+/// assert_eq!((comment.group, comment.shard, &text[comment.wait_at]), ("basket", 2, &b"480"[..]));
+/// ```
+pub fn comment(text: &[u8]) -> Result<Comment<'_>, String> {
+    let start = text.iter().position(|b| !b.is_ascii_whitespace()).unwrap_or(text.len());
+    let body = text[start..].strip_prefix(b"/*").ok_or("the statement does not begin with its comment")?;
+    let end = body.windows(2).position(|two| two == b"*/").ok_or("the statement's comment has no end")?;
+    let body = std::str::from_utf8(&body[..end]).map_err(|_| "the statement's comment is not UTF-8")?;
+    let (mut id, mut group, mut wait, mut shard, mut after_ms) = (None, None, None, None, None);
+    let mut at = start + 2;
+    for part in body.split(',') {
+        let lead = part.len() - part.trim_start().len();
+        let (name, value) = part.trim().split_once('=').unwrap_or_default();
+        let number = || value.parse::<u64>().map_err(|_| format!("{name} is no number in the comment"));
+        match name {
+            "id" => id = Some(value),
+            "c" => group = Some(value),
+            "d" => {
+                let from = at + lead + 2;
+                wait = Some((number()?, from..from + value.len()));
+            }
+            "cluster" => {
+                let number = number()?;
+                shard = Some(u16::try_from(number).map_err(|_| "cluster is too large in the comment")?);
+            }
+            "after" => after_ms = Some(number()?),
+            _ => {}
+        }
+        at += part.len() + 1;
+    }
+    let missing = |name: &str| format!("{name} is missing from the comment");
+    id.filter(|id| !id.is_empty()).ok_or_else(|| missing("id"))?;
+    let (wait_ms, wait_at) = wait.ok_or_else(|| missing("d"))?;
+    Ok(Comment {
+        group: group.ok_or_else(|| missing("c"))?,
+        wait_ms,
+        wait_at,
+        shard: shard.ok_or_else(|| missing("cluster"))?,
+        after_ms,
+    })
+}
+
+/// The session that the first quoted key names, as a number; 0 without one.
+pub fn session(text: &[u8]) -> u64 {
+    let mut quoted = text.split(|b| *b == b'\'');
+    let (_, key) = (quoted.next(), quoted.next());
+    key.filter(|_| quoted.next().is_some()).map_or(0, |key| fnv1a(key).max(1))
+}
+
+/// The FNV-1a hash of 64 bits.
+pub fn fnv1a(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
