Take a report of position zero for no report: the first failover of each start is gone

Checked: a debug log of the probes shows x0=0.000,x1=0 from every host, the listed primary too, until its first report is made 50 to 230 ms later; the second probe tells the primary. Ruled out: the list (it names the same primary twice) and lost connections (none). At fault: reported() in wire/standing.rs, which read a role out of it. The doc test of reported() covers it.

--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -87,9 +87,9 @@
         let outcome = Outcome::from(ended);
         if outcome.end != ConnectionEnd::Whole {
             count(&held.tally.probes_failed);
-            log::debug!("probe of {}: {:?}", held.list.borrow().name(host), outcome.end);
         }
         let told = row.unwrap_or(outcome.reported);
+        log::debug!("probe of {}: {:?}, {told:?}", held.list.borrow().name(host), outcome.end);
         route::decide(&held, |router, out| router.probed(host, outcome.end.ending(), told, out));
     };
     daemon.tasks.spawn(probe).detach();
--- a/crates/comethitchd/src/wire/standing.rs
+++ b/crates/comethitchd/src/wire/standing.rs
@@ -25,6 +25,9 @@
 /// let standing = comethitchd::wire::standing::reported("queue=4,x0=1767225600.12,x1=1");
 /// assert_eq!(standing.position, Some(Time(1_767_225_600_119_000)), "never newer than it was");
 /// assert_eq!(standing.role, Some(Role::Primary));
+/// // A host that has made no report yet says zero; that is no position, and no role either.
+/// let none = comethitchd::wire::standing::reported("x0=0.000,x1=0,queue=0");
+/// assert_eq!(none, comethitch::Standing::default());
 /// ```
 pub fn reported(text: &str) -> Standing {
     let fields = || text.split(',').filter_map(|field| field.trim().split_once('='));
@@ -33,7 +36,10 @@
         true => Role::Primary,
         false => Role::Replica,
     });
-    Standing { role, position: value("x0").and_then(seconds) }
+    match value("x0").map(seconds) {
+        Some(None) => Standing::default(),
+        position => Standing { role, position: position.flatten() },
+    }
 }
 
 /// Decimal seconds, less one unit of the resolution: they may have been rounded up.
