Test the daemon between stand-ins on loopback; check ranges of the configuration

Parsers on whole and byte-by-byte input and on any bytes; each end of a connection to its outcome; resets, silence, a client that leaves, the descriptor limit, the watch, SIGTERM and the program itself. A dispatch that finds no descriptor was never tried (Moot) and no longer counts against the host; a statement's copy goes once it is written.

--- a/crates/comethitchd/src/memory/buffer.rs
+++ b/crates/comethitchd/src/memory/buffer.rs
@@ -24,10 +24,6 @@
         &self.bytes[self.start..self.end]
     }
 
-    pub fn is_full(&self) -> bool {
-        self.end - self.start >= self.most
-    }
-
     /// Gives up what is read; a large buffer that has become empty is given back.
     pub fn consume(&mut self, length: usize) {
         self.start = (self.start + length).min(self.end);
--- a/crates/comethitchd/src/service/configuration.rs
+++ b/crates/comethitchd/src/service/configuration.rs
@@ -50,27 +50,16 @@
             let wanted = || format!("{key} must be an address with a port, not {text:?}");
             text.parse().map_err(|_| wanted())
         };
+        let mut lines = String::new();
+        flatten(&mut lines, "", all.at("settings").ok_or("settings is missing")?);
+        let deployment = Deployment::read(&lines).map_err(|e| format!("settings.{e}"))?;
+        check(&deployment)?;
         let seed = all.text("seed")?;
         let zones = all.names("settings.dcs", None)?;
         let known = match all.at("known") {
             Some(known) => listing_of(known, &zones).map_err(|e| format!("known.{e}"))?,
             None => Listing { whole: true, ..Listing::default() },
         };
-        let mut lines = String::new();
-        flatten(&mut lines, "", all.at("settings").ok_or("settings is missing")?);
-        let deployment = Deployment::read(&lines).map_err(|e| format!("settings.{e}"))?;
-        let mut spans = vec![
-            ("tick_us".to_string(), deployment.beat),
-            ("permissions.connect_timeout_us".into(), deployment.connect_timeout),
-            ("rules.fall_us".into(), deployment.fall_span),
-        ];
-        for (i, group) in deployment.groups.iter().enumerate() {
-            spans.push((format!("classes.{i}.target_us"), group.target));
-            spans.push((format!("classes.{i}.deadline_us"), group.timeout));
-        }
-        if let Some((key, _)) = spans.iter().find(|(_, span)| *span == Span(0)) {
-            return Err(format!("settings.{key} must be 1 or more"));
-        }
         let groups = all.names("settings.classes", Some("name"))?;
         if groups.is_empty() {
             return Err("settings.classes must name one command group or more".into());
@@ -92,6 +81,29 @@
     }
 }
 
+/// Checks the ranges of what the module works with.
+fn check(deployment: &Deployment) -> Result<(), String> {
+    let mut spans = vec![
+        ("tick_us".to_string(), deployment.beat),
+        ("permissions.connect_timeout_us".into(), deployment.connect_timeout),
+        ("rules.fall_us".into(), deployment.fall_span),
+    ];
+    for (i, group) in deployment.groups.iter().enumerate() {
+        spans.push((format!("classes.{i}.target_us"), group.target));
+        spans.push((format!("classes.{i}.deadline_us"), group.timeout));
+    }
+    if let Some((key, _)) = spans.iter().find(|(_, span)| *span == Span(0)) {
+        return Err(format!("settings.{key} must be 1 or more"));
+    }
+    if !(0.0..=1.0).contains(&deployment.cold_from) {
+        return Err(format!("settings.rules.cold_from must be 0 to 1, not {}", deployment.cold_from));
+    }
+    match deployment.max_dispatches {
+        0 => Err("settings.permissions.max_attempts must be 1 or more".into()),
+        _ => Ok(()),
+    }
+}
+
 /// A JSON object whose values are named by paths.
 struct Keys<'a>(&'a Value);
 
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -33,19 +33,21 @@
         let stop = async {
             signals.next().await;
         };
-        serve(Daemon::start(site, clock), stop).await
+        let address = site.listen;
+        let listener =
+            Async::<TcpListener>::bind(address).map_err(|e| format!("can't listen on {address}: {e}"))?;
+        serve(Daemon::start(site, clock), listener, stop).await;
+        Ok(())
     })
 }
 
 /// Serves until `stop` is through, then answers what was taken and what still comes.
-pub async fn serve(daemon: Rc<Daemon>, stop: impl Future<Output = ()>) -> Result<(), String> {
-    let address = daemon.site.listen;
-    let listener =
-        Async::<TcpListener>::bind(address).map_err(|e| format!("can't listen on {address}: {e}"))?;
+pub async fn serve(daemon: Rc<Daemon>, listener: Async<TcpListener>, stop: impl Future<Output = ()>) {
+    let address = listener.get_ref().local_addr().unwrap_or(daemon.site.listen);
     log::info!("{} listens on {address}", daemon.site.name);
     daemon.tasks.spawn(watch::follow(daemon.clone())).detach();
     daemon.tasks.spawn(sweep(daemon.clone())).detach();
-    if daemon.list.borrow().seq > 0 || !daemon.list.borrow().is_empty() {
+    if !daemon.list.borrow().is_empty() {
         let held = daemon.clone();
         let first = async move {
             Timer::after(FIRST_LIST).await;
@@ -74,7 +76,6 @@
         log::info!("stopped with {} commands in hand", in_hand(&daemon));
     };
     daemon.tasks.run(work).await;
-    Ok(())
 }
 
 fn in_hand(daemon: &Daemon) -> usize {
--- a/crates/comethitchd/src/service/watch.rs
+++ b/crates/comethitchd/src/service/watch.rs
@@ -21,7 +21,7 @@
 pub async fn follow(daemon: Rc<Daemon>) {
     let mut told = false;
     loop {
-        let path = match daemon.ready.is_raised() || daemon.list.borrow().seq > 0 {
+        let path = match !daemon.list.borrow().is_empty() {
             true => format!("/api/targets?follow=1&since={}", daemon.list.borrow().seq),
             false => "/api/targets".into(),
         };
--- a/crates/comethitchd/src/stages/relay.rs
+++ b/crates/comethitchd/src/stages/relay.rs
@@ -20,8 +20,9 @@
 }
 
 /// The answer as the client reads it, short of ReadyForQuery.
-pub fn put_reply(out: &mut Vec<u8>, reply: &Reply) {
+pub fn put_reply(out: &mut Vec<u8>, reply: Reply) {
     match reply {
+        Reply::Value(value) if out.is_empty() => *out = value,
         Reply::Value(value) => out.extend(value),
         Reply::Throttled(retry_after) => {
             let advice = retry_after.map(|after| after.0.div_ceil(1_000).to_string());
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -106,11 +106,11 @@
         Timer::after(duration(time_out)).await;
         Err(if written.get() { ConnectionEnd::Silent } else { ConnectionEnd::Unsent })
     };
-    exchange(daemon, host, &query, &written).or(late).await
+    exchange(daemon, host, query, &written).or(late).await
 }
 
 async fn exchange(
-    daemon: &Daemon, host: Host, query: &[u8], written: &Cell<bool>,
+    daemon: &Daemon, host: Host, query: Vec<u8>, written: &Cell<bool>,
 ) -> Result<Answer, ConnectionEnd> {
     let dial = daemon.list.borrow().dial(host).ok_or(ConnectionEnd::NotTried)?;
     let mut connection = loop {
@@ -120,7 +120,7 @@
             Some(kept) => kept,
             None => connect(daemon, dial).await?,
         };
-        match (&connection.stream).write_all(query).await {
+        match (&connection.stream).write_all(&query).await {
             Ok(()) => break connection,
             // The host had closed a kept connection: nothing of this has run, another one will do.
             Err(_) if !fresh => {}
@@ -128,6 +128,7 @@
         }
     };
     written.set(true);
+    drop(query);
     let mut answer = Answer::default();
     let ended = read(&mut connection, &mut answer).await;
     if ended.is_ok() && answer.ready() && connection.buffer.unread().is_empty() {
@@ -158,19 +159,24 @@
     }
 }
 
+/// What a connection that takes longer than it may has come to.
+async fn late<T>(daemon: &Daemon, end: ConnectionEnd) -> Result<T, ConnectionEnd> {
+    Timer::after(duration(daemon.site.deployment.connect_timeout)).await;
+    Err(end)
+}
+
 /// Connects and lets the host greet, so that what breaks until then is known never to have run.
 async fn connect(daemon: &Daemon, dial: SocketAddr) -> Result<HostConnection, ConnectionEnd> {
-    let late = async {
-        Timer::after(duration(daemon.site.deployment.connect_timeout)).await;
-        Err(ConnectionEnd::NeverUp)
-    };
-    let open = async {
-        let permit = loop {
+    let free = async {
+        loop {
             match daemon.descriptor() {
-                Some(permit) => break permit,
+                Some(permit) => break Ok(permit),
                 None => Timer::after(Duration::from_millis(2)).await,
             };
-        };
+        }
+    };
+    let permit = free.or(late(daemon, ConnectionEnd::NotTried)).await?;
+    let open = async {
         let stream = Async::<TcpStream>::connect(dial).await.map_err(|_| ConnectionEnd::NeverUp)?;
         count(&daemon.tally.connected);
         let _ = stream.get_ref().set_nodelay(true);
@@ -187,5 +193,5 @@
             None => Err(ConnectionEnd::NeverUp),
         }
     };
-    open.or(late).await
+    open.or(late(daemon, ConnectionEnd::NeverUp)).await
 }
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -19,6 +19,9 @@
 /// How often the hosts' own idle limit a client may let its connection lie idle.
 const CLIENT_IDLE: u64 = 10;
 
+/// Once this much of further commands has come in, no more is read before the answer in hand.
+const FURTHER: usize = 8 * 1024;
+
 struct Client {
     daemon: Rc<Daemon>,
     stream: Async<TcpStream>,
@@ -174,7 +177,8 @@
             match admit::admit(&self.daemon, text, self.arrived) {
                 Ok(admitted) => {
                     let (id, reply) = route::take(&self.daemon, admitted);
-                    relay::put_reply(&mut out, &self.reply_to(id, reply).await?);
+                    let reply = self.reply_to(id, reply).await?;
+                    relay::put_reply(&mut out, reply);
                 }
                 Err(rejected) => {
                     count(&self.daemon.tally.rejected);
@@ -193,7 +197,7 @@
             let (stream, buffer) = (&self.stream, &mut self.buffer);
             let answered = async { Ok(reply.recv().await.ok()) };
             let read = async {
-                if buffer.is_full() {
+                if buffer.unread().len() >= FURTHER {
                     std::future::pending::<()>().await;
                 }
                 Err(buffer.fill(stream).await)
--- a/crates/comethitchd/src/wire/postgres.rs
+++ b/crates/comethitchd/src/wire/postgres.rs
@@ -206,6 +206,9 @@
             self.row = Some(self.value.len() + 5..self.value.len() + message.raw.len());
         }
         if next != Stage::Ready {
+            if self.value.len() + message.raw.len() > LARGEST_MESSAGE {
+                return Err(Malformed("a value larger than it may be"));
+            }
             self.value.extend(message.raw);
         }
         self.stage = next;
--- /dev/null
+++ b/crates/comethitchd/tests/serving.rs
@@ -0,0 +1,287 @@
+//! The daemon between stand-ins on loopback: the paths on which a rule could break.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::process::{Command, Stdio};
+use std::sync::mpsc::channel;
+use support::*;
+
+fn answer(value: &str) -> Act {
+    Act::Answer(row(value.as_bytes()))
+}
+
+/// A router before one primary.
+fn alone(primary: &Host) -> Router {
+    Router::start(site(&[entry("p", primary.address, true, "ready")], None, 1024))
+}
+
+#[test]
+fn statements_pass_unchanged_and_answers_come_in_order() {
+    let primary = host(true, |nth, _| answer(&format!("value {nth}")));
+    let router = alone(&primary);
+    let mut client = Client::raw(router.address);
+    // An encryption request is declined; the first query comes straight behind the startup message.
+    client.0.write_all(&[8u32.to_be_bytes(), 80_877_103u32.to_be_bytes()].concat()).expect("sent");
+    let mut declined = [0];
+    client.0.read_exact(&mut declined).expect("an answer");
+    assert_eq!(&declined, b"N");
+    let (first, second) = (write(1, 2_000), write(2, 2_000));
+    let bytes = [startup(), query(""), query(&first), query(&second), query("SET a = 1")].concat();
+    for byte in bytes {
+        client.0.write_all(&[byte]).expect("sent");
+    }
+    let got: Vec<Got> = (0..5).map(|_| client.got()).collect();
+    let value = |nth| Got::Value(format!("value {nth}").into_bytes());
+    assert_eq!(got, [Got::Done("welcome".into()), Got::Empty, value(0), value(1), Got::Done("SET".into())]);
+    for sent in [first, second] {
+        let Met::Query(met) = primary.next() else { panic!("a query") };
+        let wait = met.split(",d=").nth(1).and_then(|rest| rest.split(',').next()).expect("d");
+        assert!((1..=2_000).contains(&wait.parse::<u32>().expect("a number")), "{met}");
+        assert_eq!(met.replace(&format!(",d={wait},"), ",d=2000,"), sent);
+    }
+    client.0.write_all(&message(b'X', b"")).expect("sent");
+    assert_eq!(client.got(), Got::Closed);
+    router.wait();
+}
+
+#[test]
+fn a_large_value_is_passed_on_whole() {
+    let large = vec![0x9f; 64 * 1024];
+    let value = large.clone();
+    let primary = host(true, move |_, _| Act::Answer(row(&value)));
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    let text = write(1, 3_000).replace("9f", &"9f".repeat(64 * 1024));
+    assert_eq!(client.ask(&text), Got::Value(large));
+    assert!(matches!(primary.next(), Met::Query(met) if met.len() > 128 * 1024));
+    router.wait();
+}
+
+#[test]
+fn a_write_that_may_have_run_is_failed_and_never_sent_again() {
+    let primary = host(true, |nth, _| if nth == 0 { Act::Close } else { answer("again") });
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    assert_eq!(client.ask(&write(1, 1_000)), Got::Error("40003".into()));
+    assert!(matches!(primary.next(), Met::Query(_)), "one dispatch");
+    drop(client);
+    router.wait();
+    assert!(!primary.met.try_iter().any(|met| matches!(met, Met::Query(_))), "and no other");
+}
+
+#[test]
+fn a_write_that_never_ran_is_throttled() {
+    let refused =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let router = Router::start(site(&[entry("p", refused, true, "ready")], None, 1024));
+    let mut client = Client::connect(router.address);
+    assert_eq!(client.ask(&write(1, 600)), Got::Error("53300".into()));
+    router.wait();
+}
+
+#[test]
+fn a_miss_and_a_turned_away_write_prove_that_nothing_ran() {
+    for code in ["25006", "53300"] {
+        let primary = host(true, move |_, _| Act::Answer(error(code)));
+        let router = alone(&primary);
+        let got = Client::connect(router.address).ask(&write(1, 400));
+        assert_eq!(got, Got::Error("53300".into()), "after {code}");
+        router.wait();
+    }
+}
+
+#[test]
+fn a_read_is_tried_elsewhere_after_a_reset() {
+    let primary = host(true, |nth, _| if nth == 0 { Act::Close } else { answer("second") });
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    assert_eq!(client.ask(&read(1, 2_000)), Got::Value(b"second".to_vec()));
+    router.wait();
+}
+
+#[test]
+fn a_silent_host_is_given_up_in_time_and_hears_no_more() {
+    let primary = host(true, |_, _| Act::Silence);
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    assert_eq!(client.ask(&write(1, 300)), Got::Error("40003".into()));
+    assert!(matches!(primary.next(), Met::Query(_)));
+    assert_eq!(primary.next(), Met::Ended, "its connection is closed, late bytes reach nobody");
+    router.wait();
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_dispatch() {
+    let primary = host(true, |_, _| Act::Silence);
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    client.0.write_all(&query(&write(1, 60_000))).expect("sent");
+    assert!(matches!(primary.next(), Met::Query(_)));
+    drop(client);
+    assert_eq!(primary.next(), Met::Ended);
+    router.wait();
+}
+
+#[test]
+fn a_kept_connection_that_the_host_closed_costs_nothing() {
+    let primary = host(true, |_, _| answer("value"));
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    for id in 0..3 {
+        assert_eq!(client.ask(&write(id, 2_000)), Got::Value(b"value".to_vec()));
+    }
+    assert!(!primary.met.try_iter().any(|met| met == Met::Ended), "one connection carries all");
+    router.wait();
+}
+
+#[test]
+fn bad_input_is_answered_and_others_feel_nothing() {
+    let primary = host(true, |_, _| answer("value"));
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    let cases = [
+        ("SELECT 1", "42601"),
+        ("/* id=1,c=read,d=x,cluster=0 */ SELECT 1", "42601"),
+        ("/* id=1,c=unheard,d=100,cluster=0 */ SELECT 1", "22023"),
+        ("/* id=1,c=read,d=99999999999,cluster=0 */ SELECT 1", "22023"),
+    ];
+    for (text, code) in cases {
+        assert_eq!(client.ask(text), Got::Error(code.into()), "{text}");
+    }
+    // A message of the extended protocol: one error, and all is skipped up to Sync.
+    let extended = [message(b'P', b"\0SELECT 1\0\0\0"), message(b'B', b""), message(b'S', b"")].concat();
+    client.0.write_all(&extended).expect("sent");
+    assert_eq!(client.got(), Got::Error("0A000".into()));
+    let lost = [message(b'y', b""), vec![b'Q', 0x7f, 0, 0, 0], message(b'Q', b"no end")];
+    for bytes in lost {
+        let mut other = Client::connect(router.address);
+        other.0.write_all(&bytes).expect("sent");
+        assert_eq!(other.got(), Got::Error("08P01".into()));
+        assert_eq!(other.0.read(&mut [0]).unwrap_or(0), 0, "closed: the framing is lost");
+    }
+    assert_eq!(client.ask(&write(1, 2_000)), Got::Value(b"value".to_vec()));
+    router.wait();
+}
+
+#[test]
+fn at_the_descriptor_limit_idle_clients_make_room() {
+    let primary = host(true, |_, _| answer("value"));
+    let router = Router::start(site(&[entry("p", primary.address, true, "ready")], None, 64));
+    // Three times as many as fit, all kept open: each new one is served.
+    let clients: Vec<Client> = (0..120)
+        .map(|id| {
+            let mut client = Client::connect(router.address);
+            assert_eq!(client.ask(&write(id, 5_000)), Got::Value(b"value".to_vec()), "client {id}");
+            client
+        })
+        .collect();
+    drop(clients);
+    router.wait();
+}
+
+#[test]
+fn the_list_is_followed_and_a_malformed_line_changes_nothing() {
+    let (first, second) = (host(true, |_, _| answer("first")), host(true, |_, _| answer("second")));
+    let discovery = discovery();
+    let known = entry("p", first.address, true, "ready");
+    let router = Router::start(site(&[known], Some(&discovery), 1024));
+    let (request, mut watch) = discovery.watch();
+    assert_eq!(request, "GET /api/targets?follow=1&since=7 HTTP/1.1");
+    send_chunk(&mut watch, "\n");
+    send_chunk(&mut watch, "{\"seq\":8,\"whole\":false,\"hosts\":[]}\n");
+    let mut client = Client::connect(router.address);
+    assert_eq!(client.ask(""), Got::Empty);
+    assert_eq!(client.ask(&write(1, 2_000)), Got::Value(b"first".to_vec()));
+    send_chunk(&mut watch, "{\"seq\":9,\"whole\":true,\"hosts\":[{\"host\":\"p\"}]}\n");
+    let (request, mut watch) = discovery.watch();
+    assert_eq!(request, "GET /api/targets?follow=1&since=8 HTTP/1.1", "begun anew from what was held");
+    assert_eq!(client.ask(&write(2, 2_000)), Got::Value(b"first".to_vec()));
+    // The same host at another address, the line split over chunks.
+    let moved = entry("p", second.address, true, "ready").to_string();
+    let line = format!("{{\"seq\":9,\"whole\":false,\"hosts\":[{moved}]}}\n");
+    let (before, after) = line.split_at(40);
+    send_chunk(&mut watch, before);
+    send_chunk(&mut watch, after);
+    let met = std::iter::from_fn(|| first.met.recv_timeout(LONG).ok()).find(|met| *met == Met::Ended);
+    assert_eq!(met, Some(Met::Ended), "kept connections to the old address are closed");
+    assert_eq!(client.ask(&write(3, 2_000)), Got::Value(b"second".to_vec()));
+    router.wait();
+}
+
+#[test]
+fn a_start_without_any_list_is_ready_once_discovery_has_told_one() {
+    let primary = host(true, |_, _| answer("value"));
+    let discovery = discovery();
+    let router = Router::start(site(&[], Some(&discovery), 1024));
+    let (request, mut watch) = discovery.watch();
+    assert_eq!(request, "GET /api/targets HTTP/1.1");
+    let mut client = Client::connect(router.address);
+    client.0.write_all(&query("")).expect("sent");
+    let host = entry("p", primary.address, true, "ready");
+    send_chunk(&mut watch, &format!("{{\"seq\":3,\"whole\":true,\"hosts\":[{host}]}}\n"));
+    watch.write_all(b"0\r\n\r\n").expect("sent");
+    assert_eq!(client.got(), Got::Empty);
+    assert_eq!(discovery.watch().0, "GET /api/targets?follow=1&since=3 HTTP/1.1");
+    assert_eq!(client.ask(&write(1, 2_000)), Got::Value(b"value".to_vec()));
+    router.wait();
+}
+
+#[test]
+fn what_is_taken_around_the_signal_is_answered() {
+    let (release, held) = channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let primary = host(true, move |nth, _| {
+        // The first command is let go only once the second one has come, after the signal.
+        match nth {
+            0 => drop(held.lock().expect("one host").recv_timeout(LONG)),
+            _ => release.send(()).expect("the first one waits"),
+        }
+        answer("value")
+    });
+    let router = alone(&primary);
+    let (mut early, mut late) = (Client::connect(router.address), Client::connect(router.address));
+    early.0.write_all(&query(&write(1, 3_000))).expect("sent");
+    assert!(matches!(primary.next(), Met::Query(_)));
+    router.ask_to_stop();
+    let mut newest = Client::connect(router.address);
+    assert_eq!(newest.ask("DISCARD ALL"), Got::Done("DISCARD".into()));
+    assert_eq!(late.ask(&write(2, 3_000)), Got::Value(b"value".to_vec()));
+    assert_eq!(early.got(), Got::Value(b"value".to_vec()));
+    router.wait();
+    assert_eq!(late.got(), Got::Closed, "idle connections close late, but they close");
+}
+
+#[test]
+fn the_program_serves_until_sigterm_and_says_what_is_wrong() {
+    let program = env!("CARGO_BIN_EXE_comethitchd");
+    let folder = std::env::temp_dir().join(format!("comethitchd-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("configuration.json");
+    let primary = host(true, |_, _| answer("value"));
+    std::fs::write(&file, site(&[entry("p", primary.address, true, "ready")], None, 1024)).expect("written");
+    let mut child = Command::new(program)
+        .arg("serve")
+        .env("RELAY_CONFIG", &file)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("started");
+    let mut log = std::io::BufRead::lines(std::io::BufReader::new(child.stderr.take().expect("its log")));
+    let line = log.find_map(|line| line.ok().filter(|line| line.contains(" listens on "))).expect("a line");
+    let address = line.rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
+    let mut client = Client::connect(address);
+    assert_eq!(client.ask(""), Got::Empty);
+    assert_eq!(client.ask(&write(1, 2_000)), Got::Value(b"value".to_vec()));
+    let id = child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("a signal").success());
+    assert!(child.wait().expect("an end").success(), "it ends by itself, with 0");
+    std::fs::write(&file, "{\"settings\": {}}").expect("written");
+    for command in ["serve", "check"] {
+        let out =
+            Command::new(program).args([command, "--configuration"]).arg(&file).output().expect("an end");
+        let told = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success() && told.lines().count() == 1, "{told}");
+        assert!(told.contains("settings.domain.class_read is missing"), "{told}");
+    }
+    std::fs::remove_dir_all(&folder).expect("removed");
+}
--- /dev/null
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -0,0 +1,286 @@
+//! Stand-ins on loopback, from the protocols' public descriptions: a database host, discovery, a client.
+//! Every wait is for an event; the limits on waiting only end a test that has failed.
+#![allow(dead_code)]
+
+use async_io::Async;
+use comethitchd::service::clock::Clock;
+use comethitchd::service::configuration::Site;
+use comethitchd::service::daemon::Daemon;
+use comethitchd::service::listen;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::{JoinHandle, spawn};
+use std::time::{Duration, SystemTime};
+
+pub const LONG: Duration = Duration::from_secs(20);
+pub const SAMPLE: &str = include_str!("../../../../deploy/configuration.json");
+
+/// A message of the protocol.
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind], &(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
+}
+
+pub fn query(text: &str) -> Vec<u8> {
+    message(b'Q', format!("{text}\0").as_bytes())
+}
+
+/// A whole answer of one row, short of ReadyForQuery.
+pub fn row(value: &[u8]) -> Vec<u8> {
+    let described = message(b'T', &[&[0, 1][..], b"data\0", &[0; 18]].concat());
+    let data = message(b'D', &[&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat());
+    [described, data, message(b'C', b"SELECT 1\0")].concat()
+}
+
+pub fn error(code: &str) -> Vec<u8> {
+    message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes())
+}
+
+pub fn parameter(name: &str, value: &str) -> Vec<u8> {
+    message(b'S', format!("{name}\0{value}\0").as_bytes())
+}
+
+pub fn ready() -> Vec<u8> {
+    message(b'Z', b"I")
+}
+
+fn read_message(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).ok()?;
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    let mut body = vec![0; length - 4];
+    stream.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+/// What a host does with a query.
+pub enum Act {
+    Answer(Vec<u8>),
+    /// Says nothing until the router ends the connection.
+    Silence,
+    Close,
+}
+
+/// What a host has met.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Met {
+    Query(String),
+    /// The router ended a connection, after a query that got no answer or while idle.
+    Ended,
+}
+
+pub struct Host {
+    pub address: SocketAddr,
+    pub met: Receiver<Met>,
+}
+
+impl Host {
+    pub fn next(&self) -> Met {
+        self.met.recv_timeout(LONG).expect("something at the host")
+    }
+}
+
+/// A host that answers probes as primary or replica, and commands as told; `nth` counts commands.
+pub fn host(primary: bool, script: impl Fn(usize, &str) -> Act + Send + Sync + 'static) -> Host {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (tell, met) = channel();
+    let (script, count) = (Arc::new(script), Arc::new(std::sync::atomic::AtomicUsize::new(0)));
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (script, tell, count) = (script.clone(), tell.clone(), count.clone());
+            spawn(move || {
+                let act = |text: &str| {
+                    let nth = count.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                    script(nth, text)
+                };
+                host_connection(stream, primary, act, &tell);
+            });
+        }
+    });
+    Host { address, met }
+}
+
+fn host_connection(mut stream: TcpStream, primary: bool, act: impl Fn(&str) -> Act, tell: &Sender<Met>) {
+    let mut length = [0; 4];
+    let _ = stream.read_exact(&mut length);
+    let _ = stream.read_exact(&mut vec![0; (u32::from_be_bytes(length) as usize).saturating_sub(4)]);
+    let _ = stream.write_all(&[message(b'R', &[0; 4]), ready()].concat());
+    while let Some((b'Q', body)) = read_message(&mut stream) {
+        let text = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
+        let answer = if text == "SHOW vitals" {
+            let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).expect("a clock").as_millis();
+            let at = format!("x0={}.{:03},x1={}", unix / 1000, unix % 1000, u8::from(primary));
+            Act::Answer(row(at.as_bytes()))
+        } else {
+            let _ = tell.send(Met::Query(text.clone()));
+            act(&text)
+        };
+        match answer {
+            Act::Answer(answer) => {
+                let rank = parameter("rank", if primary { "source" } else { "copy" });
+                let _ = stream.write_all(&[answer, rank, ready()].concat());
+            }
+            Act::Silence => {
+                let _ = stream.read(&mut [0]);
+                break;
+            }
+            Act::Close => return,
+        }
+    }
+    let _ = tell.send(Met::Ended);
+}
+
+/// Discovery: each watch's request is told, and lines are sent to the latest watch.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub asked: Receiver<(String, TcpStream)>,
+}
+
+pub fn discovery() -> Discovery {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (tell, asked) = channel();
+    spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut lines = BufReader::new(stream.try_clone().expect("a copy")).lines();
+            let first = lines.next().and_then(Result::ok).unwrap_or_default();
+            while lines.next().and_then(Result::ok).is_some_and(|line| !line.is_empty()) {}
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            let _ = tell.send((first, stream));
+        }
+    });
+    Discovery { address, asked }
+}
+
+impl Discovery {
+    pub fn watch(&self) -> (String, TcpStream) {
+        self.asked.recv_timeout(LONG).expect("a watch")
+    }
+}
+
+/// Sends text as one chunk.
+pub fn send_chunk(stream: &mut TcpStream, text: &str) {
+    write!(stream, "{:x}\r\n{text}\r\n", text.len()).expect("a chunk sent");
+}
+
+pub fn entry(name: &str, address: SocketAddr, primary: bool, health: &str) -> Value {
+    json!({"host": name, "dial": address.to_string(), "site": "north", "class": "m", "block": 0,
+        "health": health, "share": 1.0, "rank": if primary { "source" } else { "copy" }, "born_ms": 0})
+}
+
+/// A configuration with these hosts, none of them changing unless a discovery is given.
+pub fn site(hosts: &[Value], discovery: Option<&Discovery>, sockets: usize) -> String {
+    let mut all: Value = serde_json::from_str(SAMPLE).expect("the sample");
+    all["known"] = json!({"seq": 7, "whole": true, "hosts": hosts});
+    all["limits"]["sockets"] = sockets.into();
+    all["listen"] = "127.0.0.1:0".into();
+    // Without one, an address where nothing listens.
+    all["discovery"] = discovery.map_or("127.0.0.1:1".into(), |d| d.address.to_string().into());
+    all.to_string()
+}
+
+pub struct Router {
+    pub address: SocketAddr,
+    stop: async_channel::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl Router {
+    pub fn start(site: String) -> Router {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let thread = spawn(move || {
+            let site = Site::read(&site, |_| None).expect("a configuration");
+            let listener = Async::new(listener).expect("a listener");
+            async_io::block_on(listen::serve(Daemon::start(site, Clock::start()), listener, async {
+                let _ = stopped.recv().await;
+            }));
+        });
+        Router { address, stop, thread }
+    }
+
+    /// Asks it to stop, as the signal does.
+    pub fn ask_to_stop(&self) {
+        self.stop.close();
+    }
+
+    pub fn wait(self) {
+        self.ask_to_stop();
+        self.thread.join().expect("the router ends without a panic");
+    }
+}
+
+/// What a client got for one query.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Got {
+    Value(Vec<u8>),
+    Error(String),
+    Empty,
+    Done(String),
+    Closed,
+}
+
+pub struct Client(pub TcpStream);
+
+impl Client {
+    pub fn connect(address: SocketAddr) -> Client {
+        let mut client = Client::raw(address);
+        client.0.write_all(&startup()).expect("the startup message sent");
+        assert_eq!(client.got(), Got::Done("welcome".into()));
+        client
+    }
+
+    pub fn raw(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a limit");
+        Client(stream)
+    }
+
+    pub fn ask(&mut self, text: &str) -> Got {
+        self.0.write_all(&query(text)).expect("a query sent");
+        self.got()
+    }
+
+    /// The next answer, up to ReadyForQuery or the end of the connection.
+    pub fn got(&mut self) -> Got {
+        let mut got = Got::Closed;
+        while let Some((kind, body)) = read_message(&mut self.0) {
+            match kind {
+                b'Z' => return got,
+                b'R' => got = Got::Done("welcome".into()),
+                b'D' => got = Got::Value(body[6..].to_vec()),
+                b'I' => got = Got::Empty,
+                b'C' if got == Got::Closed => got = Got::Done(text_of(&body)),
+                b'E' => {
+                    let code = body.split(|b| *b == 0).find(|field| field.first() == Some(&b'C'));
+                    got = Got::Error(text_of(&code.expect("a code")[1..]));
+                }
+                _ => {}
+            }
+        }
+        got
+    }
+}
+
+fn text_of(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).trim_end_matches('\0').to_string()
+}
+
+pub fn startup() -> Vec<u8> {
+    let body = [&(3u32 << 16).to_be_bytes()[..], b"user\0portal\0database\0crm\0\0"].concat();
+    [&(body.len() as u32 + 4).to_be_bytes()[..], &body].concat()
+}
+
+pub fn read(id: u32, wait_ms: u32) -> String {
+    format!("/* id={id},c=read,d={wait_ms},cluster=0 */ SELECT data FROM facts WHERE code = 'k{id}'")
+}
+
+pub fn write(id: u32, wait_ms: u32) -> String {
+    format!(
+        "/* id={id},c=write,d={wait_ms},cluster=0 */ INSERT INTO facts (code, data) VALUES ('k', '\\x9f')"
+    )
+}
--- /dev/null
+++ b/crates/comethitchd/tests/wire.rs
@@ -0,0 +1,280 @@
+//! What is spoken: whole and byte by byte, and any bytes at all.
+
+mod support;
+
+use comethitch::chance::Chance;
+use comethitch::time::Time;
+use comethitch::{Ending, Lifecycle, Role};
+use comethitchd::memory::buffer::Buffer;
+use comethitchd::memory::connection::ConnectionEnd;
+use comethitchd::service::configuration::Site;
+use comethitchd::wire::http::{self, Body};
+use comethitchd::wire::postgres::{self, Answer, LARGEST_MESSAGE, Malformed, Opening, message};
+use comethitchd::wire::{discovery, standing, statement};
+use futures_lite::future::block_on;
+use serde_json::{Value, json};
+use support::*;
+
+/// Feeds an answer's bytes in pieces of this size, and tells whether it came to its end.
+fn answer_in(pieces: usize, bytes: &[u8]) -> Result<Answer, Malformed> {
+    let (mut answer, mut held) = (Answer::default(), Vec::new());
+    for piece in bytes.chunks(pieces) {
+        held.extend(piece);
+        while let Some(next) = message(&held)? {
+            answer.take(&next)?;
+            let length = next.raw.len();
+            held.drain(..length);
+        }
+    }
+    assert!(held.is_empty(), "{} bytes left", held.len());
+    Ok(answer)
+}
+
+#[test]
+fn an_answer_is_the_same_at_every_split() {
+    let told = [parameter("rank", "source"), parameter("as_of", "1767225600123")].concat();
+    let bytes = [row(b"\x9f\x00\x03"), message_of_notice(), told, ready()].concat();
+    for pieces in [1, 2, 3, 5, 7, bytes.len()] {
+        let answer = answer_in(pieces, &bytes).expect("an answer");
+        assert!(answer.whole() && answer.ready() && answer.code.is_none());
+        assert_eq!(answer.value, row(b"\x9f\x00\x03"), "only the value itself is passed on");
+        let noted = standing::noted(&answer);
+        assert_eq!((noted.role, noted.position), (Some(Role::Primary), Some(Time(1_767_225_600_123_000))));
+    }
+}
+
+fn message_of_notice() -> Vec<u8> {
+    support::message(b'N', b"SNOTICE\0\0")
+}
+
+#[test]
+fn what_is_no_whole_answer_is_told_apart() {
+    let cut = [&row(b"x")[..row(b"x").len() - 14], &ready()].concat();
+    assert!(answer_in(1, &cut).is_err(), "ready without CommandComplete");
+    let twice = [row(b"x"), row(b"x"), ready()].concat();
+    assert!(answer_in(1, &twice).is_err(), "two values for one query");
+    let none = [support::message(b'C', b"INSERT 0 1\0"), ready()].concat();
+    assert!(!answer_in(1, &none).expect("an answer").whole(), "a command without its row");
+    let late = [row(b"x"), error("XX000"), ready()].concat();
+    let late = answer_in(1, &late).expect("an answer");
+    assert!(!late.whole() && late.code.as_deref() == Some("XX000"), "an error takes the value back");
+    assert!(answer_in(9, &support::message(b'R', &[0, 0, 0, 3])).is_err(), "a password is asked for");
+    let large = [&b"D"[..], &(LARGEST_MESSAGE as u32 + 1).to_be_bytes()].concat();
+    assert_eq!(message(&large).err(), Some(Malformed("a message has an impossible length")));
+    assert!(message(b"Q\0\0\0\x03").is_err(), "a length shorter than its own field");
+}
+
+#[test]
+fn openings_are_told_apart() {
+    let code = |code: u32| [8u32.to_be_bytes(), code.to_be_bytes()].concat();
+    assert_eq!(postgres::opening(&code(80_877_103)), Ok(Some((Opening::Encryption, 8))));
+    assert_eq!(postgres::opening(&code(80_877_104)), Ok(Some((Opening::Encryption, 8))));
+    assert_eq!(postgres::opening(&code(80_877_102)), Ok(Some((Opening::Cancel, 8))));
+    assert!(postgres::opening(&code(2 << 16)).is_err());
+    let whole = startup();
+    let opened = Some((Opening::Startup { minor: 0 }, whole.len()));
+    for end in 0..whole.len() {
+        assert_eq!(postgres::opening(&whole[..end]), Ok(None));
+    }
+    assert_eq!(postgres::opening(&[&whole[..], b"Q"].concat()), Ok(opened));
+}
+
+#[test]
+fn comments_are_read_or_say_what_is_wrong() {
+    let good = b"  /* x=1, after=17,cluster=65535,c=order,d=480,id=9b */ INSERT INTO f (code) VALUES ('k')";
+    let comment = statement::comment(good).expect("a comment");
+    assert_eq!((comment.group, comment.shard, comment.after_ms), ("order", 65_535, Some(17)));
+    assert_eq!(&good[comment.wait_at], b"480");
+    assert_eq!(statement::session(good), statement::session(b"SELECT 'k'"));
+    assert_eq!(statement::session(b"SELECT 'k"), 0, "a quote without an end names nothing");
+    let cases = [
+        ("SELECT 1", "does not begin with its comment"),
+        ("/* id=1,c=a,d=5,cluster=2", "has no end"),
+        ("/* c=a,d=5,cluster=2 */", "id is missing"),
+        ("/* id=1,d=5,cluster=2 */", "c is missing"),
+        ("/* id=1,c=a,cluster=2 */", "d is missing"),
+        ("/* id=1,c=a,d=5 */", "cluster is missing"),
+        ("/* id=1,c=a,d=-5,cluster=2 */", "d is no number"),
+        ("/* id=1,c=a,d=5,cluster=70000 */", "cluster is too large"),
+        ("/* id=1,c=a,d=5,cluster=2,after=soon */", "after is no number"),
+    ];
+    for (text, wanted) in cases {
+        let message = statement::comment(text.as_bytes()).expect_err(wanted);
+        assert!(message.contains(wanted), "{message}");
+    }
+}
+
+#[test]
+fn chunks_are_the_same_at_every_split() {
+    let bytes = b"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n3;x=y\r\n{\"a\r\n1\r\n\n\r\n4\r\nb\"}\n\r\n0\r\nT: 1\r\n\r\nrest";
+    for pieces in [1, 2, 3, 5, bytes.len()] {
+        let (mut held, mut body, mut out) = (Vec::new(), None, Vec::new());
+        for piece in bytes.chunks(pieces) {
+            held.extend(piece);
+            if body.is_none()
+                && let Some((status, form, length)) = http::head(&held).expect("a head")
+            {
+                assert_eq!(status, 200);
+                held.drain(..length);
+                body = Some(form);
+            }
+            if let Some(body) = &mut body {
+                let taken = body.take(&held, &mut out).expect("a body");
+                held.drain(..taken);
+            }
+        }
+        assert_eq!(out, b"{\"a\nb\"}\n");
+        assert!(body.is_some_and(|body| body.over()) && held == b"rest");
+    }
+    assert_eq!(
+        http::head(b"HTTP/1.1 503 Off\r\nContent-Length: 2\r\n\r\n"),
+        Ok(Some((503, Body::Length(2), 39)))
+    );
+    assert!(http::head(b"SMTP ready\r\n\r\n").is_err());
+    assert!(http::head(&[b'a'; 20_000]).is_err(), "a head without end");
+    let chunked = || http::head(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("a head");
+    for wrong in [&b"zz\r\n"[..], b"1\r\nab\r\n", &[b'1'; 2_000]] {
+        assert!(chunked().expect("whole").1.take(wrong, &mut Vec::new()).is_err());
+    }
+}
+
+#[test]
+fn any_bytes_are_taken_without_a_panic() {
+    let mut chance = Chance::new(17);
+    for round in 0..3_000 {
+        let mut bytes: Vec<u8> =
+            (0..chance.below(60.0) as usize).map(|_| chance.below(256.0) as u8).collect();
+        if round % 2 == 0 {
+            bytes = [b"D\0\0\0\x0c", &bytes[..]].concat();
+        }
+        if let Ok(Some(found)) = message(&bytes) {
+            let mut answer = Answer::default();
+            let described = support::message(b'T', b"");
+            answer.take(&message(&described).expect("whole").expect("whole")).expect("in order");
+            let _ =
+                (answer.take(&found).is_ok(), answer.column().is_some(), postgres::query_text(found.body));
+        }
+        let _ = (postgres::opening(&bytes), statement::comment(&bytes), statement::session(&bytes));
+        let _ = (http::head(&bytes), discovery::listing(&bytes, &[]).is_ok());
+        let _ = standing::reported(&String::from_utf8_lossy(&bytes));
+    }
+    for odd in ["x0=.5", "x0=1.x", "x0=99999999999999999999", "x0=-1", "=", "x0", "x0=1e9,x1=?"] {
+        assert_eq!(standing::reported(odd), comethitch::Standing::default(), "{odd}");
+    }
+}
+
+#[test]
+fn every_end_of_a_connection_has_its_outcome() {
+    let code = |code: &str| ConnectionEnd::Code(code.into());
+    let table = [
+        (ConnectionEnd::Whole, Ending::Answered, false),
+        (code("25006"), Ending::Miss, true),
+        (code("72000"), Ending::Miss, true),
+        (code("XX000"), Ending::Error, false),
+        (code("08P01"), Ending::Error, false),
+        (code("53300"), Ending::Full, true),
+        (ConnectionEnd::NotTried, Ending::Moot, true),
+        (ConnectionEnd::NeverUp, Ending::NoConnection, true),
+        (ConnectionEnd::Unsent, Ending::NoConnection, true),
+        (ConnectionEnd::Broken, Ending::Reset, false),
+        (ConnectionEnd::Malformed, Ending::Reset, false),
+        (ConnectionEnd::Silent, Ending::TimedOut, false),
+        (ConnectionEnd::GivenUp, Ending::Cancelled, false),
+    ];
+    for (end, ending, never_ran) in table {
+        assert_eq!((end.ending(), end.ending().never_ran()), (ending, never_ran), "{end:?}");
+    }
+}
+
+#[test]
+fn a_buffer_grows_is_compacted_and_has_a_limit() {
+    let mut buffer = Buffer::new(3_000);
+    let bytes = [7u8; 5_000];
+    let mut from = &bytes[..];
+    while buffer.unread().len() < 3_000 {
+        block_on(buffer.fill(&mut from)).expect("room");
+    }
+    assert!(block_on(buffer.fill(&mut from)).is_err(), "no room without a limit");
+    buffer.consume(2_999);
+    assert!(block_on(buffer.fill(&mut from)).expect("room again") > 1_000, "compacted in place");
+    assert!(buffer.unread().iter().all(|b| *b == 7));
+}
+
+#[test]
+fn a_list_is_read_or_says_what_is_wrong() {
+    let zones = ["north".to_string(), "south".to_string()];
+    let address = "127.0.0.1:5433".parse().expect("an address");
+    let list = |host: Value| json!({"seq": 4, "whole": false, "hosts": [host]}).to_string();
+    let mut host = entry("s-1", address, true, "draining");
+    host["site"] = "south".into();
+    host["born_ms"] = 1_767_225_600_123_u64.into();
+    let read = discovery::listing(list(host.clone()).as_bytes(), &zones).expect("a list");
+    let one = &read.entries[0];
+    assert_eq!((read.seq, read.whole, one.zone, one.heads), (4, false, 1, true));
+    assert_eq!((one.lifecycle, one.dial), (Lifecycle::Draining, address));
+    assert_eq!(one.started, Some(Time(1_767_225_600_123_000)));
+    assert_eq!(discovery::host("s-1"), one.host);
+    assert_ne!(discovery::host("s-2"), one.host);
+    for (key, wrong) in [
+        ("dial", json!("db.example")),
+        ("health", json!("well")),
+        ("block", json!(-1)),
+        ("host", json!(null)),
+    ] {
+        let mut wrong_host = host.clone();
+        wrong_host[key] = wrong;
+        let message = discovery::listing(list(wrong_host).as_bytes(), &zones).expect_err(key);
+        assert!(message.starts_with(&format!("hosts.0.{key} ")), "{message}");
+    }
+    assert!(discovery::listing(b"{\"seq\":1,", &zones).is_err());
+}
+
+#[test]
+fn a_faulty_configuration_names_its_key() {
+    let without = |path: &str| changed(path, Value::Null);
+    let cases = [
+        ("{".to_string(), "this is no JSON"),
+        (without("settings"), "settings is missing"),
+        (without("settings.tick_us"), "settings.tick_us"),
+        (without("settings.domain.class_read"), "settings.domain.class_read is missing"),
+        (without("seed"), "seed is missing"),
+        (without("listen"), "listen is missing, and RELAY_LISTEN is not set"),
+        (changed("listen", json!("here")), "listen must be an address with a port, not \"here\""),
+        (changed("discovery", json!(80)), "discovery must be a text"),
+        (changed("seed", json!("xyz")), "seed must be up to 16 hexadecimal digits"),
+        (changed("limits.sockets", json!(3)), "limits.sockets must be a whole number of 64 or more, not 3"),
+        (changed("limits.memory_mb", json!("much")), "limits.memory_mb must be a whole number"),
+        (changed("settings.tick_us", json!(0)), "settings.tick_us must be 1 or more"),
+        (changed("settings.classes", json!([])), "settings.classes"),
+        (changed("known.hosts", json!([{"host": "a"}])), "known.hosts.0.dial is missing"),
+        (changed("settings.rules.cold_from", json!("low")), "settings.rules.cold_from is unreadable"),
+        (changed("settings.rules.cold_from", json!(1.5)), "settings.rules.cold_from must be 0 to 1"),
+        (changed("settings.permissions.max_attempts", json!(0)), "settings.permissions.max_attempts must be"),
+    ];
+    for (text, wanted) in cases {
+        let message = Site::read(&text, |_| None).expect_err(wanted);
+        assert!(message.contains(wanted) && !message.contains('\n'), "{message}");
+    }
+    let site = Site::read(&changed("listen", Value::Null), |name| {
+        (name == "RELAY_LISTEN").then(|| "127.0.0.1:7000".into())
+    });
+    assert_eq!(site.expect("a configuration").listen.port(), 7000, "the variable stands in");
+    assert!(
+        Site::read(&changed("settings.more", json!([1, 2])), |_| None).is_ok(),
+        "unknown keys are let be"
+    );
+}
+
+/// The sample with the value at a path replaced, or taken out.
+fn changed(path: &str, value: Value) -> String {
+    let mut all: Value = serde_json::from_str(SAMPLE).expect("the sample");
+    let (above, key) = path.rsplit_once('.').unwrap_or(("", path));
+    let holder = above.split('.').filter(|k| !k.is_empty()).fold(&mut all, |value, key| &mut value[key]);
+    let holder = holder.as_object_mut().expect("an object");
+    if value.is_null() {
+        holder.remove(key)
+    } else {
+        holder.insert(key.into(), value)
+    };
+    all.to_string()
+}
