--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# The usual steps; `make run` takes another configuration by CONFIGURATION=file.
+CONFIGURATION ?= deploy/configuration.json
+
+.PHONY: build test lint format check run
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+format:
+	cargo fmt --all
+
+check: build
+	target/release/comethitchd check --configuration $(CONFIGURATION)
+
+run: build
+	target/release/comethitchd serve --configuration $(CONFIGURATION)
--- a/crates/comethitchd/src/memory/list.rs
+++ b/crates/comethitchd/src/memory/list.rs
@@ -1,7 +1,7 @@
 //! The list of hosts as last told: here only where each is dialled; all else is the module's.
 
 use crate::wire::discovery::Listing;
-use comethitch::{Host, Lifecycle};
+use comethitch::{Host, Lifecycle, Role};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -9,6 +9,8 @@
 pub struct List {
     pub seq: u64,
     hosts: BTreeMap<Host, (String, SocketAddr)>,
+    /// What hosts last said they were, for the log.
+    roles: BTreeMap<Host, Role>,
 }
 
 impl List {
@@ -37,6 +39,11 @@
         self.hosts.is_empty()
     }
 
+    /// Whether a host that says this of itself said otherwise before, or nothing.
+    pub fn tells(&mut self, host: Host, role: Role) -> bool {
+        self.roles.insert(host, role) != Some(role)
+    }
+
     pub fn dial(&self, host: Host) -> Option<SocketAddr> {
         self.hosts.get(&host).map(|(_, dial)| *dial)
     }
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -12,7 +12,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use comethitch::time::{Span, Time};
-use comethitch::{Ending, Router};
+use comethitch::{Ending, Host, Role, Router};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -59,6 +59,8 @@
     pub probes_failed: Cell<u64>,
     pub connected: Cell<u64>,
     pub endings: RefCell<Vec<(Ending, u64)>>,
+    /// By host, what was neither answered nor called off; probes too.
+    pub troubles: RefCell<Vec<(Host, Ending, u64)>>,
 }
 
 pub fn count(of: &Cell<u64>) {
@@ -74,6 +76,15 @@
         }
     }
 
+    /// Counts what went wrong at a host.
+    pub fn trouble(&self, host: Host, ending: Ending) {
+        let mut troubles = self.troubles.borrow_mut();
+        match troubles.iter_mut().find(|(known, how, _)| (*known, *how) == (host, ending)) {
+            Some((.., number)) => *number += 1,
+            None => troubles.push((host, ending, 1)),
+        }
+    }
+
     /// What was counted, in words, and from nothing again; none if nothing was.
     pub fn told(&self) -> Option<String> {
         let named = [
@@ -167,6 +178,7 @@
         let beat = self.site.deployment.beat.max(self.shortest_target() / 16);
         if now - self.seen.get() > beat * 2 {
             self.stood.set((self.seen.get(), now));
+            log::warn!("stood still for {} ms", (now - self.seen.get()).0 / 1_000);
         }
         self.seen.set(now);
         now
@@ -179,6 +191,29 @@
         if now - until < self.site.deployment.beat { from.max(Time(1)) } else { now }
     }
 
+    /// Keeps for the log what a dispatch or a probe has told of a host.
+    pub fn met(&self, host: Host, ending: Ending, role: Option<Role>) {
+        if !matches!(ending, Ending::Answered | Ending::Cancelled) {
+            self.tally.trouble(host, ending);
+        }
+        let mut list = self.list.borrow_mut();
+        if let Some(role) = role.filter(|role| list.tells(host, *role)) {
+            log::info!("{} answers as {role:?}", list.name(host));
+        }
+    }
+
+    /// Logs what was counted since the last time.
+    pub fn report(&self) {
+        if let Some(told) = self.tally.told() {
+            let (clients, kept) = (self.clients.len(), self.pool.borrow().len());
+            let (used, hand) = (self.descriptors.used(), self.commands.borrow().len());
+            log::info!("{told}; now {hand} in hand, {clients} clients, {kept} kept of {used} connections");
+        }
+        for (host, ending, number) in self.tally.troubles.take() {
+            log::warn!("{}: {ending:?} {number} times", self.list.borrow().name(host));
+        }
+    }
+
     fn shortest_target(&self) -> Span {
         self.site.deployment.groups.iter().map(|group| group.target).min().unwrap_or_default()
     }
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -73,6 +73,7 @@
             Timer::after(duration(daemon.longest_timeout()) + LAST_WORDS - STILL_COMING).await;
         };
         through.or(late).await;
+        daemon.report();
         log::info!("stopped with {} commands in hand", in_hand(&daemon));
     };
     daemon.tasks.run(work).await;
@@ -112,12 +113,8 @@
     for round in 1.. {
         Timer::after(SWEEP).await;
         daemon.pool.borrow_mut().sweep(daemon.clock.now());
-        if round % SWEEPS_TOLD == 0
-            && let Some(told) = daemon.tally.told()
-        {
-            let (clients, kept) = (daemon.clients.len(), daemon.pool.borrow().len());
-            let (used, hand) = (daemon.descriptors.used(), in_hand(&daemon));
-            log::info!("{told}; now {hand} in hand, {clients} clients, {kept} kept of {used} connections");
+        if round % SWEEPS_TOLD == 0 {
+            daemon.report();
         }
     }
 }
--- a/crates/comethitchd/src/stages/route.rs
+++ b/crates/comethitchd/src/stages/route.rs
@@ -92,8 +92,8 @@
             }
             Act::Probe(host) => send::probe(daemon, host),
             Act::CloseIdle(host) => {
-                log::info!(
-                    "connections to {} closed: no longer the primary",
+                log::warn!(
+                    "failover: {} is not taken for the primary any more",
                     daemon.list.borrow().name(host)
                 );
                 daemon.pool.borrow_mut().close(host);
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -17,6 +17,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The one code in a greeting that tells more than that no connection came up.
+const TOO_MANY: &str = "53300";
+
 /// How a dispatch ended, and what its answer told.
 pub struct Outcome {
     pub end: ConnectionEnd,
@@ -59,8 +62,9 @@
     let held = daemon.clone();
     let task = daemon.tasks.spawn(async move {
         let query = query(&statement, time_out);
-        let ended = within(&held, host, query, time_out).await;
-        book::ended(&held, id, nth, ended.into());
+        let outcome: Outcome = within(&held, host, query, time_out).await.into();
+        held.met(host, outcome.end.ending(), outcome.noted.role);
+        book::ended(&held, id, nth, outcome);
     });
     commands.dispatched(id, task);
 }
@@ -89,6 +93,7 @@
             count(&held.tally.probes_failed);
         }
         let told = row.unwrap_or(outcome.reported);
+        held.met(host, outcome.end.ending(), told.role);
         log::debug!("probe of {}: {:?}, {told:?}", held.list.borrow().name(host), outcome.end);
         route::decide(&held, |router, out| router.probed(host, outcome.end.ending(), told, out));
     };
@@ -188,7 +193,8 @@
         let mut greeting = Answer::default();
         let greeted = read(&mut connection, &mut greeting).await;
         match greeting.code {
-            Some(code) => Err(ConnectionEnd::Code(code)),
+            Some(code) if code == TOO_MANY => Err(ConnectionEnd::Code(code)),
+            Some(_) => Err(ConnectionEnd::NeverUp),
             None if greeted.is_ok() => Ok(connection),
             None => Err(ConnectionEnd::NeverUp),
         }
