Do not write a bounded read once its connection has taken longer than its bound allows

Seen in review: the module proves a replica's position against the bound as it decides, with a margin of 1/32 of the bound (94 ms here), but a new connection may take 250 ms to greet, and on sockets the bound counts from the last byte. Checked with stand-ins: a replica whose data stand still and whose second connection greets late was sent the read, and the router relayed the old value (the new test in serving.rs fails so without the check). Ruled out: kept connections, which are written at once. At fault: exchange() in stages/send.rs, which wrote whatever the wait had been. Also: waiting for the first list notices a client that leaves, and a connection whose answer made no sense is no longer kept.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -1,15 +1,11 @@
 //! The decision module: every decision of the router is made in this file.
 //!
-//! A caller makes one [`Router`] for each instance with [`Router::start`], tells it of the list, of probes
-//! and of the passing time, and gives it commands with [`Router::take`]. That returns a [`Handle`]; what
-//! happens to the command later is a call on the handle. The interface, and the trait that carries acts out,
-//! stand in `lib.rs`. `docs/design.md` tells the mechanism; "Beyond the design" marks each departure.
-
-use crate::chance::Chance;
-use crate::histogram::Histogram;
-use crate::time::{Span, Time};
+//! A caller makes a [`Router`], tells it of the list, of probes and of the passing time, and gives it
+//! commands with [`Router::take`]. What happens to one later is a call on the [`Handle`] that this returns.
+//! The interface stands in `lib.rs`, the mechanism in `docs/design.md`; "Beyond the design" marks departures.
+
 use crate::{CommandGroup, CommandId, Deployment, Effect, Ending, Guards, Host, Lifecycle, Need, Outlet};
-use crate::{Reach, Role, Shard, Standing};
+use crate::{Reach, Role, Shard, Standing, chance::Chance, histogram::Histogram, time::Span, time::Time};
 use std::collections::BTreeMap;
 
 // The design page's own figures.
@@ -627,8 +623,7 @@
         self.took[group].quantile(0.3).unwrap_or(self.deployment.groups[group].target / 8)
     }
 
-    /// What a cold host's budget is charged for a command: the long ones are what pushes it over, and the
-    /// first answers are the short ones'.
+    /// What a cold host's budget is charged for a command: the long ones are what pushes it over.
     fn heft(&self, group: usize) -> f64 {
         (self.work(group) * 2).max(self.deployment.groups[group].target / 8).0 as f64
     }
@@ -879,9 +874,8 @@
                 false if kind.effect == Effect::Keyed => kind.timeout,
                 false => kind.target,
             };
-            if command.taken + in_hand
-                < now + self.took[command.group].quantile(0.8).unwrap_or(kind.target / 4)
-            {
+            let usual = self.took[command.group].quantile(0.8).unwrap_or(kind.target / 4);
+            if command.taken + in_hand < now + usual {
                 self.give_up(id, out);
             }
             return;
@@ -950,6 +944,15 @@
         }
     }
 
+    /// Whether a dispatch that was held up on its way may still go: the age of data counts as it is written.
+    pub fn may_go(self, router: &Router, nth: u16, now: Time) -> bool {
+        let Some(command) = router.commands.get(&self.0) else { return false };
+        let i = command.dispatches[usize::from(nth)].node;
+        let need = router.deployment.groups[command.group].need;
+        let aged = matches!(need, Need::Bounded(_)) && !router.fresh_enough(i, need, Time(0), now);
+        !aged || router.deployment.guards != Guards::Off || router.groups[&command.shard].primary == Some(i)
+    }
+
     /// A dispatch ended. `over` says that the command is finished by this or was before; `noted` is what the
     /// answer says of the host at that moment, `reported` what its last report says.
     #[allow(clippy::too_many_arguments)]
@@ -959,10 +962,8 @@
     ) {
         let now = out.now();
         let Some(command) = router.commands.get_mut(&self.0) else { return };
-        let Some(dispatch) = command.dispatches.get_mut(usize::from(nth)) else { return };
-        if dispatch.ended.is_some() {
-            return;
-        }
+        let open = command.dispatches.get_mut(usize::from(nth)).filter(|d| d.ended.is_none());
+        let Some(dispatch) = open else { return };
         dispatch.ended = Some(ending);
         let (dispatch, i) = (*dispatch, dispatch.node);
         let (kind, shard, session) = (command.group, command.shard, command.session);
--- a/crates/comethitch/tests/scenarios.rs
+++ b/crates/comethitch/tests/scenarios.rs
@@ -8,6 +8,7 @@
 //! probed a,b ok primary -20ms  the end of a probe of each, and what the host says of itself
 //! take 1 bounded for 600ms     a command of a group, with its client timeout (`after 30ms`: since its write)
 //! ended 1.0 reset [over] [role [position]]   the end of a dispatch
+//! held 1.0 may|not             a dispatch held up on its way may still go now, or may not
 //! left 1                       the client went away
 //! expect dispatch 1 b|c        an act since the last `at`, in this order; a word may list alternatives
 //! never throttle 1             no such act since the last `at`; `*` stands for any word
@@ -224,6 +225,15 @@
                 let nth = nth.parse().expect("a dispatch");
                 handle.dispatch_ended(router, nth, ending(end), over, noted, Standing::default(), acts);
             }
+            ["held", which, wanted] => {
+                let (id, nth) = which.split_once('.').expect("command and dispatch");
+                let (router, acts) = self.router();
+                let handle = router.handle(id.parse().expect("an id")).ok_or("no such command is known")?;
+                let may = handle.may_go(router, nth.parse().expect("a dispatch"), acts.now);
+                if may != (*wanted == "may") {
+                    return Err(format!("may go: {may}"));
+                }
+            }
             ["left", id] => {
                 let (router, acts) = self.router();
                 let handle = router.handle(id.parse().expect("an id")).ok_or("no such command is known")?;
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -40,11 +40,7 @@
             Ok(answer) => Outcome {
                 noted: standing::noted(&answer),
                 reported: answer.vitals.as_deref().map(standing::reported).unwrap_or_default(),
-                end: match answer.code {
-                    Some(code) => ConnectionEnd::Code(code),
-                    None if answer.whole() => ConnectionEnd::Whole,
-                    None => ConnectionEnd::Malformed,
-                },
+                end: answer.code.map_or(ConnectionEnd::Whole, ConnectionEnd::Code),
                 value: answer.value,
             },
             Err(end) => {
@@ -62,7 +58,11 @@
     let held = daemon.clone();
     let task = daemon.tasks.spawn(async move {
         let query = query(&statement, time_out);
-        let outcome: Outcome = within(&held, host, query, time_out).await.into();
+        let may_go = || {
+            let router = held.router.borrow();
+            router.handle(id).is_some_and(|handle| handle.may_go(&router, nth, held.clock.now()))
+        };
+        let outcome: Outcome = within(&held, host, query, time_out, may_go).await.into();
         held.met(host, outcome.end.ending(), outcome.noted.role);
         book::ended(&held, id, nth, outcome);
     });
@@ -85,7 +85,7 @@
     let probe = async move {
         let mut query = Vec::new();
         postgres::put_query(&mut query, &[b"SHOW vitals"]);
-        let ended = within(&held, host, query, held.site.deployment.connect_timeout).await;
+        let ended = within(&held, host, query, held.site.deployment.connect_timeout, || true).await;
         let row =
             ended.as_ref().ok().and_then(|answer| answer.column().map(|text| standing::reported(&text)));
         let outcome = Outcome::from(ended);
@@ -100,8 +100,10 @@
     daemon.tasks.spawn(probe).detach();
 }
 
+/// Asks a host within a time. A new connection can take long to come up, so the module is asked then
+/// whether the query `may_go` still.
 async fn within(
-    daemon: &Daemon, host: Host, query: Vec<u8>, time_out: Span,
+    daemon: &Daemon, host: Host, query: Vec<u8>, time_out: Span, may_go: impl Fn() -> bool,
 ) -> Result<Answer, ConnectionEnd> {
     if time_out == Span(0) {
         return Err(ConnectionEnd::Unsent);
@@ -111,11 +113,11 @@
         Timer::after(duration(time_out)).await;
         Err(if written.get() { ConnectionEnd::Silent } else { ConnectionEnd::Unsent })
     };
-    exchange(daemon, host, query, &written).or(late).await
+    exchange(daemon, host, query, may_go, &written).or(late).await
 }
 
 async fn exchange(
-    daemon: &Daemon, host: Host, query: Vec<u8>, written: &Cell<bool>,
+    daemon: &Daemon, host: Host, query: Vec<u8>, may_go: impl Fn() -> bool, written: &Cell<bool>,
 ) -> Result<Answer, ConnectionEnd> {
     let dial = daemon.list.borrow().dial(host).ok_or(ConnectionEnd::NotTried)?;
     let mut connection = loop {
@@ -125,6 +127,10 @@
             Some(kept) => kept,
             None => connect(daemon, dial).await?,
         };
+        if fresh && !may_go() {
+            daemon.pool.borrow_mut().put(host, connection, daemon.clock.now());
+            return Err(ConnectionEnd::NotTried);
+        }
         match (&connection.stream).write_all(&query).await {
             Ok(()) => break connection,
             // The host had closed a kept connection: nothing of this has run, another one will do.
@@ -136,11 +142,12 @@
     drop(query);
     let mut answer = Answer::default();
     let ended = read(&mut connection, &mut answer).await;
-    if ended.is_ok() && answer.ready() && connection.buffer.unread().is_empty() {
-        daemon.pool.borrow_mut().put(host, connection, daemon.clock.now());
-    } else if !answer.whole() && answer.code.is_none() {
+    if !answer.whole() && answer.code.is_none() {
         return Err(ended.err().unwrap_or(ConnectionEnd::Malformed));
     }
+    if ended.is_ok() && connection.buffer.unread().is_empty() {
+        daemon.pool.borrow_mut().put(host, connection, daemon.clock.now());
+    }
     Ok(answer)
 }
 
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -2,16 +2,15 @@
 
 use crate::memory::buffer::Buffer;
 use crate::memory::clients::Permit;
-use crate::memory::commands::Reply;
 use crate::service::clock::duration;
 use crate::service::daemon::{Daemon, count};
 use crate::stages::{admit, relay, route};
 use crate::wire::postgres::{self, LARGEST_MESSAGE, Malformed, Opening};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use comethitch::CommandId;
 use comethitch::time::{Span, Time};
 use futures_lite::{AsyncWriteExt, FutureExt};
+use std::future::Future;
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -169,7 +168,8 @@
 
     async fn query(&mut self, text: Vec<u8>, mut out: Vec<u8>) -> Result<(), Stop> {
         if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') {
-            self.daemon.ready.raised().await;
+            let daemon = self.daemon.clone();
+            self.while_here(daemon.ready.raised()).await?;
             postgres::put_empty(&mut out);
         } else if let Some(tag) = admit::session_statement(&text) {
             postgres::put_complete(&mut out, tag);
@@ -177,8 +177,13 @@
             match admit::admit(&self.daemon, text, self.arrived) {
                 Ok(admitted) => {
                     let (id, reply) = route::take(&self.daemon, admitted);
-                    let reply = self.reply_to(id, reply).await?;
-                    relay::put_reply(&mut out, reply);
+                    match self.while_here(reply.recv()).await {
+                        Ok(Ok(reply)) => relay::put_reply(&mut out, reply),
+                        _ => {
+                            route::left(&self.daemon, id);
+                            return Err(Stop::Left);
+                        }
+                    }
                 }
                 Err(rejected) => {
                     count(&self.daemon.tally.rejected);
@@ -191,24 +196,22 @@
         self.write(&out).await
     }
 
-    /// Waits for the final answer, and notices if the client goes away before it.
-    async fn reply_to(&mut self, id: CommandId, reply: Receiver<Reply>) -> Result<Reply, Stop> {
+    /// Waits for something, and notices if the client goes away before it.
+    async fn while_here<T>(&mut self, event: impl Future<Output = T>) -> Result<T, Stop> {
+        let mut event = std::pin::pin!(event);
         loop {
             let (stream, buffer) = (&self.stream, &mut self.buffer);
-            let answered = async { Ok(reply.recv().await.ok()) };
+            let come = async { Ok(event.as_mut().await) };
             let read = async {
                 if buffer.unread().len() >= FURTHER {
                     std::future::pending::<()>().await;
                 }
                 Err(buffer.fill(stream).await)
             };
-            match answered.or(read).await {
-                Ok(Some(reply)) => return Ok(reply),
+            match come.or(read).await {
+                Ok(come) => return Ok(come),
                 Err(Ok(length)) if length > 0 => self.arrived = self.daemon.arrival(),
-                Ok(None) | Err(_) => {
-                    route::left(&self.daemon, id);
-                    return Err(Stop::Left);
-                }
+                Err(_) => return Err(Stop::Left),
             }
         }
     }
--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -91,6 +91,31 @@
     }
 }
 
+#[test]
+fn a_read_held_up_by_its_connection_gets_no_data_past_their_bound() {
+    let bound = std::time::Duration::from_secs(2);
+    let still = Some((std::time::SystemTime::now(), bound));
+    let replica = host_since(false, |nth, _| if nth == 0 { Act::Silence } else { answer("old") }, still);
+    let primary = host(true, |_, _| answer("new"));
+    let hosts = [entry("p", primary.address, true, "ready"), entry("r", replica.address, false, "ready")];
+    let mut all: serde_json::Value =
+        serde_json::from_str(&site(&hosts, None, 1024)).expect("a configuration");
+    all["settings"]["domain"]["oldest_data_us"][0] = 2_000_000.into();
+    all["settings"]["permissions"]["connect_timeout_us"] = 10_000_000.into();
+    let router = Router::start(all.to_string());
+    // Once the replica is known to be fresh, a read takes its one greeted connection; the next needs another.
+    let mut kept = Vec::new();
+    while !matches!(replica.met.recv_timeout(std::time::Duration::from_millis(20)), Ok(Met::Query(_))) {
+        let mut client = Client::connect(router.address);
+        client.0.write_all(&query(&read(1, 10_000))).expect("sent");
+        kept.push(client);
+        assert!(kept.len() < 90, "the replica is asked while its data are fresh");
+    }
+    assert_eq!(Client::connect(router.address).ask(&read(2, 10_000)), Got::Value(b"new".to_vec()));
+    assert!(!replica.met.try_iter().any(|met| matches!(met, Met::Query(_))), "nothing was sent late");
+    router.wait();
+}
+
 #[test]
 fn a_read_is_tried_elsewhere_after_a_reset() {
     let primary = host(true, |nth, _| if nth == 0 { Act::Close } else { answer("second") });
