--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -193,13 +193,9 @@
     }
 
     /// What the values of a host's report say. The position is a 32-bit float, rounded to the nearest: the
-    /// next one below is surely not past the truth. A host that has made no report yet gives zeros, which
-    /// tell no position and no role.
+    /// next one below is surely not past the truth.
     pub fn reported(&self, values: &[f32]) -> Standing {
         let value = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
-        if value(self.position_at) == Some(0.0) {
-            return Standing::default();
-        }
         let position = value(self.position_at)
             .map(|seconds| self.origin + Span((f64::from(seconds.next_down()) * 1e6).max(0.0) as u64));
         let role = value(self.role_at).map(|role| match role >= 0.5 {
