Accept past the descriptor limit on spare descriptors, and throttle there at once

Checked: the counts of the daemon's log sum to fewer commands than clients sent, and accepting stood still while no descriptor was free; what waits in the system's queue counts as taken. Ruled out: dispatches that got none (those commands had no attempt). At fault: accept() in service/listen.rs, which paused.

--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -18,7 +18,11 @@
 
 /// Descriptors that are no connections of clients or hosts: standard streams, poller, signals, listener,
 /// discovery, the log.
-const OTHER_DESCRIPTORS: usize = 24;
+const OTHER_DESCRIPTORS: usize = 20;
+/// One in so many of the others is spare, for clients' connections past the limit.
+const SPARE: usize = 16;
+/// Of the rest, clients get this part at most, and hosts what is left.
+const CLIENTS_PART: (usize, usize) = (3, 4);
 /// Memory that is no connection's buffer.
 const OTHER_MEMORY: u64 = 24 << 20;
 
@@ -120,6 +124,7 @@
     pub list: RefCell<List>,
     pub clients: Clients,
     pub descriptors: Descriptors,
+    pub spare: Descriptors,
     /// The list is held: clients may come.
     pub ready: Flag,
     pub tally: Tally,
@@ -132,6 +137,7 @@
     pub fn start(mut site: Site, clock: Clock) -> Rc<Daemon> {
         let by_memory = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY) / LARGEST_MESSAGE as u64;
         let connections = (site.sockets - OTHER_DESCRIPTORS).min(by_memory as usize);
+        let spare = connections.div_ceil(SPARE);
         let known = std::mem::take(&mut site.known);
         let mut acts = Acts::at(clock.now());
         let router = Router::start(site.deployment.clone(), site.seed, &mut acts);
@@ -143,7 +149,8 @@
             pool: RefCell::new(Pool::new(site.host_idle)),
             list: RefCell::default(),
             clients: Clients::default(),
-            descriptors: Descriptors::new(connections),
+            descriptors: Descriptors::new(connections - spare),
+            spare: Descriptors::new(spare),
             ready: Flag::default(),
             tally: Tally::default(),
             seen: Cell::new(clock.now()),
@@ -223,6 +230,16 @@
         self.site.deployment.groups.iter().map(|group| group.timeout).max().unwrap_or_default()
     }
 
+    /// A descriptor for one more client; one that idles is asked to make room if there is none.
+    pub fn client_descriptor(&self) -> Option<Permit> {
+        let most = self.descriptors.most() * CLIENTS_PART.0 / CLIENTS_PART.1;
+        if self.clients.len() <= most {
+            return self.descriptor();
+        }
+        self.clients.shed();
+        None
+    }
+
     /// A descriptor for one more connection; if all are in use, an idle connection to a host makes room, or
     /// a client's idle connection is asked to.
     pub fn descriptor(&self) -> Option<Permit> {
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -21,8 +21,6 @@
 const LAST_WORDS: Duration = Duration::from_millis(600);
 /// While no descriptor is free, nothing is accepted for this long.
 const PAUSE: Duration = Duration::from_millis(5);
-/// Of the descriptors, clients get this part at most; the rest is for hosts.
-const CLIENTS_PART: (usize, usize) = (3, 4);
 const SWEEP: Duration = Duration::from_secs(1);
 const SWEEPS_TOLD: u32 = 10;
 
@@ -83,22 +81,17 @@
     daemon.commands.borrow().len()
 }
 
-/// Accepts for ever.
+/// Accepts for ever. What waits to be accepted counts as taken, so no more than a moment may pass: at the
+/// limit a connection is accepted on a spare descriptor, and its command throttled if none becomes free.
 async fn accept(daemon: &Rc<Daemon>, listener: &Async<TcpListener>) {
-    let most = daemon.descriptors.most() * CLIENTS_PART.0 / CLIENTS_PART.1;
     loop {
-        if daemon.clients.len() >= most {
-            daemon.clients.shed();
-            Timer::after(PAUSE).await;
-            continue;
-        }
-        let Some(permit) = daemon.descriptor() else {
+        let Some(spare) = daemon.spare.take() else {
             Timer::after(PAUSE).await;
             continue;
         };
         match listener.accept().await {
             Ok((stream, _)) => {
-                daemon.tasks.spawn(take_in::serve(daemon.clone(), stream, permit)).detach();
+                daemon.tasks.spawn(take_in::serve(daemon.clone(), stream, spare)).detach();
             }
             Err(error) => {
                 log::warn!("a connection could not be accepted: {error}");
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -2,6 +2,7 @@
 
 use crate::memory::buffer::Buffer;
 use crate::memory::clients::Permit;
+use crate::memory::commands::Reply;
 use crate::service::clock::duration;
 use crate::service::daemon::{Daemon, count};
 use crate::stages::{admit, relay, route};
@@ -9,7 +10,7 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use comethitch::time::{Span, Time};
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncWriteExt, FutureExt, future};
 use std::future::Future;
 use std::io;
 use std::net::TcpStream;
@@ -18,6 +19,9 @@
 /// How often the hosts' own idle limit a client may let its connection lie idle.
 const CLIENT_IDLE: u64 = 10;
 
+/// How many turns a connection waits for an idle one to give way.
+const GIVE_WAY: u32 = 3;
+
 /// Once this much of further commands has come in, no more is read before the answer in hand.
 const FURTHER: usize = 8 * 1024;
 
@@ -29,6 +33,11 @@
     closing: Receiver<()>,
     /// When the bytes read last came in.
     arrived: Time,
+    permit: Permit,
+    /// Past the limit on connections: it has a spare descriptor, and its command is throttled.
+    spare: bool,
+    /// A query was answered here, so that the connection may be closed between two.
+    served: bool,
     /// A message that is not spoken here was met: all is skipped up to the next Sync.
     skipping: bool,
 }
@@ -53,12 +62,23 @@
     }
 }
 
+/// Serves a connection that was accepted on a spare descriptor.
 pub async fn serve(daemon: Rc<Daemon>, stream: Async<TcpStream>, permit: Permit) {
     let _ = stream.get_ref().set_nodelay(true);
     let (number, closing) = daemon.clients.enter();
-    let (buffer, arrived) = (Buffer::new(LARGEST_MESSAGE + 1), daemon.now());
-    let mut client =
-        Client { daemon: daemon.clone(), stream, buffer, number, closing, arrived, skipping: false };
+    let mut client = Client {
+        daemon: daemon.clone(),
+        stream,
+        buffer: Buffer::new(LARGEST_MESSAGE + 1),
+        number,
+        closing,
+        arrived: daemon.now(),
+        permit,
+        spare: true,
+        served: false,
+        skipping: false,
+    };
+    client.settle().await;
     let stop = match client.open().await {
         Ok(()) => client.converse().await,
         Err(stop) => stop,
@@ -75,7 +95,6 @@
         Stop::Left | Stop::Closing => {}
     }
     daemon.clients.leave(number);
-    drop(permit);
 }
 
 impl Client {
@@ -98,6 +117,19 @@
         }
     }
 
+    /// Gets a descriptor of its own for the spare one, if there is one or an idle connection gives way.
+    async fn settle(&mut self) {
+        for _ in 0..GIVE_WAY {
+            if !self.spare {
+                return;
+            }
+            match self.daemon.client_descriptor() {
+                Some(permit) => (self.permit, self.spare) = (permit, false),
+                None => future::yield_now().await,
+            }
+        }
+    }
+
     async fn converse(&mut self) -> Stop {
         loop {
             if let Err(stop) = self.message().await {
@@ -108,18 +140,27 @@
 
     /// Reads more, while nothing of this client is in hand.
     async fn more(&mut self) -> Result<(), Stop> {
+        self.settle().await;
         let empty = self.buffer.unread().is_empty();
-        if empty {
+        let between = empty && self.served;
+        if between {
             self.daemon.clients.idles(self.number, Some(self.daemon.now()));
         }
         let (stream, closing) = (&self.stream, &self.closing);
-        let limit = duration(self.daemon.site.host_idle * if empty { CLIENT_IDLE } else { 1 });
+        let soon = self.daemon.site.deployment.connect_timeout;
+        let limit = duration(match between {
+            true if self.spare => soon,
+            true => self.daemon.site.host_idle * CLIENT_IDLE,
+            false => self.daemon.site.host_idle,
+        });
         let fill = async { Ok(self.buffer.fill(stream).await?) };
         let close = async {
             let _ = closing.recv().await;
-            // A command that has begun to come in is waited for.
-            if !empty {
-                std::future::pending::<()>().await;
+            // A command that has begun to come in is waited for, and for a moment a first one that has not.
+            match (empty, between) {
+                (true, true) => {}
+                (true, false) => _ = Timer::after(duration(soon)).await,
+                (false, _) => future::pending::<()>().await,
             }
             Err(Stop::Closing)
         };
@@ -167,6 +208,7 @@
     }
 
     async fn query(&mut self, text: Vec<u8>, mut out: Vec<u8>) -> Result<(), Stop> {
+        self.settle().await;
         if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') {
             let daemon = self.daemon.clone();
             self.while_here(daemon.ready.raised()).await?;
@@ -175,6 +217,10 @@
             postgres::put_complete(&mut out, tag);
         } else {
             match admit::admit(&self.daemon, text, self.arrived) {
+                Ok(_) if self.spare => {
+                    count(&self.daemon.tally.throttled);
+                    relay::put_reply(&mut out, Reply::Throttled(None));
+                }
                 Ok(admitted) => {
                     let (id, reply) = route::take(&self.daemon, admitted);
                     match self.while_here(reply.recv()).await {
@@ -193,7 +239,9 @@
             }
         }
         postgres::put_ready(&mut out);
-        self.write(&out).await
+        self.write(&out).await?;
+        self.served = true;
+        if self.spare { Err(Stop::Closing) } else { Ok(()) }
     }
 
     /// Waits for something, and notices if the client goes away before it.
@@ -204,7 +252,7 @@
             let come = async { Ok(event.as_mut().await) };
             let read = async {
                 if buffer.unread().len() >= FURTHER {
-                    std::future::pending::<()>().await;
+                    future::pending::<()>().await;
                 }
                 Err(buffer.fill(stream).await)
             };
--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -205,6 +205,27 @@
     router.wait();
 }
 
+#[test]
+fn past_the_descriptor_limit_commands_are_throttled_at_once() {
+    let primary = host(true, |_, _| answer("value"));
+    let router = Router::start(site(&[entry("p", primary.address, true, "ready")], None, 64));
+    // Clients whose first command has not come in, or half of it, are not idle: none of them gives way.
+    let mut busy: Vec<Client> = (0..30).map(|_| Client::connect(router.address)).collect();
+    busy.iter_mut()
+        .step_by(2)
+        .for_each(|client| client.0.write_all(&query(&write(1, 5_000))[..40]).expect("sent"));
+    for id in 0..10 {
+        let mut client = Client::connect(router.address);
+        assert_eq!(client.ask(&write(id, 5_000)), Got::Error("53300".into()));
+        assert_eq!(client.got(), Got::Closed);
+    }
+    assert!(!primary.met.try_iter().any(|met| matches!(met, Met::Query(_))), "none was sent");
+    drop(busy);
+    let served = |_| Client::connect(router.address).ask(&write(9, 5_000)) == Got::Value(b"value".to_vec());
+    assert!((0..10_000).any(served), "room again once they are gone");
+    router.wait();
+}
+
 #[test]
 fn the_list_is_followed_and_a_malformed_line_changes_nothing() {
     let (first, second) = (host(true, |_, _| answer("first")), host(true, |_, _| answer("second")));
