Throttle by commands in hand at the limit, instead of turning new connections away

Now clients' connections are accepted up to six eighths, commands in hand are held to five, and what is past that is throttled. A closed connection is looked at once more just before its end.

--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -19,12 +19,11 @@
 /// Descriptors that are no connections of clients or hosts: standard streams, poller, signals, listener,
 /// discovery, the log.
 const OTHER_DESCRIPTORS: usize = 20;
-/// One in so many of the others is spare, for clients' connections past the limit.
-const SPARE: usize = 16;
-/// Of the rest, clients get this part at most, and hosts what is left.
-const CLIENTS_PART: (usize, usize) = (3, 4);
+/// Of the others clients get this part at most, and may have a command in hand on this one.
+const CLIENTS_PART: (usize, usize) = (6, 8);
+const BUSY_PART: (usize, usize) = (5, 8);
 /// Memory that is no connection's buffer.
-const OTHER_MEMORY: u64 = 24 << 20;
+const OTHER_MEMORY: u64 = 12 << 20;
 
 /// Raised once; any number of tasks can wait for it.
 pub struct Flag(Sender<()>, Receiver<()>);
@@ -124,7 +123,6 @@
     pub list: RefCell<List>,
     pub clients: Clients,
     pub descriptors: Descriptors,
-    pub spare: Descriptors,
     /// The list is held: clients may come.
     pub ready: Flag,
     pub tally: Tally,
@@ -137,7 +135,6 @@
     pub fn start(mut site: Site, clock: Clock) -> Rc<Daemon> {
         let by_memory = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY) / LARGEST_MESSAGE as u64;
         let connections = (site.sockets - OTHER_DESCRIPTORS).min(by_memory as usize);
-        let spare = connections.div_ceil(SPARE);
         let known = std::mem::take(&mut site.known);
         let mut acts = Acts::at(clock.now());
         let router = Router::start(site.deployment.clone(), site.seed, &mut acts);
@@ -149,8 +146,7 @@
             pool: RefCell::new(Pool::new(site.host_idle)),
             list: RefCell::default(),
             clients: Clients::default(),
-            descriptors: Descriptors::new(connections - spare),
-            spare: Descriptors::new(spare),
+            descriptors: Descriptors::new(connections),
             ready: Flag::default(),
             tally: Tally::default(),
             seen: Cell::new(clock.now()),
@@ -230,10 +226,15 @@
         self.site.deployment.groups.iter().map(|group| group.timeout).max().unwrap_or_default()
     }
 
+    /// Whether as many commands are in hand as connections allow. Past that, clients' connections are still
+    /// accepted, and their commands throttled at once.
+    pub fn is_full(&self) -> bool {
+        self.commands.borrow().len() >= self.descriptors.most() * BUSY_PART.0 / BUSY_PART.1
+    }
+
     /// A descriptor for one more client; one that idles is asked to make room if there is none.
     pub fn client_descriptor(&self) -> Option<Permit> {
-        let most = self.descriptors.most() * CLIENTS_PART.0 / CLIENTS_PART.1;
-        if self.clients.len() <= most {
+        if self.clients.len() < self.descriptors.most() * CLIENTS_PART.0 / CLIENTS_PART.1 {
             return self.descriptor();
         }
         self.clients.shed();
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -20,7 +20,7 @@
 /// How much longer than its longest command a router may take to stop.
 const LAST_WORDS: Duration = Duration::from_millis(600);
 /// While no descriptor is free, nothing is accepted for this long.
-const PAUSE: Duration = Duration::from_millis(5);
+const PAUSE: Duration = Duration::from_millis(1);
 const SWEEP: Duration = Duration::from_secs(1);
 const SWEEPS_TOLD: u32 = 10;
 
@@ -81,17 +81,16 @@
     daemon.commands.borrow().len()
 }
 
-/// Accepts for ever. What waits to be accepted counts as taken, so no more than a moment may pass: at the
-/// limit a connection is accepted on a spare descriptor, and its command throttled if none becomes free.
+/// Accepts for ever. What waits to be accepted counts as taken, so no more than a moment may pass.
 async fn accept(daemon: &Rc<Daemon>, listener: &Async<TcpListener>) {
     loop {
-        let Some(spare) = daemon.spare.take() else {
+        let Some(permit) = daemon.client_descriptor() else {
             Timer::after(PAUSE).await;
             continue;
         };
         match listener.accept().await {
             Ok((stream, _)) => {
-                daemon.tasks.spawn(take_in::serve(daemon.clone(), stream, spare)).detach();
+                daemon.tasks.spawn(take_in::serve(daemon.clone(), stream, permit)).detach();
             }
             Err(error) => {
                 log::warn!("a connection could not be accepted: {error}");
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -13,15 +13,12 @@
 use futures_lite::{AsyncWriteExt, FutureExt, future};
 use std::future::Future;
 use std::io;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
 /// How often the hosts' own idle limit a client may let its connection lie idle.
 const CLIENT_IDLE: u64 = 10;
 
-/// How many turns a connection waits for an idle one to give way.
-const GIVE_WAY: u32 = 3;
-
 /// Once this much of further commands has come in, no more is read before the answer in hand.
 const FURTHER: usize = 8 * 1024;
 
@@ -33,9 +30,7 @@
     closing: Receiver<()>,
     /// When the bytes read last came in.
     arrived: Time,
-    permit: Permit,
-    /// Past the limit on connections: it has a spare descriptor, and its command is throttled.
-    spare: bool,
+    _permit: Permit,
     /// A query was answered here, so that the connection may be closed between two.
     served: bool,
     /// A message that is not spoken here was met: all is skipped up to the next Sync.
@@ -62,7 +57,6 @@
     }
 }
 
-/// Serves a connection that was accepted on a spare descriptor.
 pub async fn serve(daemon: Rc<Daemon>, stream: Async<TcpStream>, permit: Permit) {
     let _ = stream.get_ref().set_nodelay(true);
     let (number, closing) = daemon.clients.enter();
@@ -73,12 +67,10 @@
         number,
         closing,
         arrived: daemon.now(),
-        permit,
-        spare: true,
+        _permit: permit,
         served: false,
         skipping: false,
     };
-    client.settle().await;
     let stop = match client.open().await {
         Ok(()) => client.converse().await,
         Err(stop) => stop,
@@ -117,19 +109,6 @@
         }
     }
 
-    /// Gets a descriptor of its own for the spare one, if there is one or an idle connection gives way.
-    async fn settle(&mut self) {
-        for _ in 0..GIVE_WAY {
-            if !self.spare {
-                return;
-            }
-            match self.daemon.client_descriptor() {
-                Some(permit) => (self.permit, self.spare) = (permit, false),
-                None => future::yield_now().await,
-            }
-        }
-    }
-
     async fn converse(&mut self) -> Stop {
         loop {
             if let Err(stop) = self.message().await {
@@ -140,7 +119,6 @@
 
     /// Reads more, while nothing of this client is in hand.
     async fn more(&mut self) -> Result<(), Stop> {
-        self.settle().await;
         let empty = self.buffer.unread().is_empty();
         let between = empty && self.served;
         if between {
@@ -149,7 +127,6 @@
         let (stream, closing) = (&self.stream, &self.closing);
         let soon = self.daemon.site.deployment.connect_timeout;
         let limit = duration(match between {
-            true if self.spare => soon,
             true => self.daemon.site.host_idle * CLIENT_IDLE,
             false => self.daemon.site.host_idle,
         });
@@ -170,13 +147,27 @@
         };
         let read = fill.or(close).or(late).await;
         self.daemon.clients.idles(self.number, None);
-        if read? == 0 {
-            return Err(Stop::Left);
-        }
+        match read {
+            Ok(0) => return Err(Stop::Left),
+            // Something came at the last moment: it is read at the next turn.
+            Err(Stop::Closing) if !self.hang_up() => return Ok(()),
+            read => read?,
+        };
         self.arrived = self.daemon.arrival();
         Ok(())
     }
 
+    /// Ends the connection unless a command has come in that is not read yet; one that comes later is the
+    /// client's to send again, as it sees the end first.
+    fn hang_up(&self) -> bool {
+        let stream = self.stream.get_ref();
+        let come = stream.peek(&mut [0]).is_ok_and(|length| length > 0);
+        if !come {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        !come
+    }
+
     async fn message(&mut self) -> Result<(), Stop> {
         let Some(message) = postgres::message(self.buffer.unread())? else { return self.more().await };
         let length = message.raw.len();
@@ -208,7 +199,6 @@
     }
 
     async fn query(&mut self, text: Vec<u8>, mut out: Vec<u8>) -> Result<(), Stop> {
-        self.settle().await;
         if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') {
             let daemon = self.daemon.clone();
             self.while_here(daemon.ready.raised()).await?;
@@ -217,7 +207,8 @@
             postgres::put_complete(&mut out, tag);
         } else {
             match admit::admit(&self.daemon, text, self.arrived) {
-                Ok(_) if self.spare => {
+                // A hard limit: no decision is asked for.
+                Ok(_) if self.daemon.is_full() => {
                     count(&self.daemon.tally.throttled);
                     relay::put_reply(&mut out, Reply::Throttled(None));
                 }
@@ -241,7 +232,7 @@
         postgres::put_ready(&mut out);
         self.write(&out).await?;
         self.served = true;
-        if self.spare { Err(Stop::Closing) } else { Ok(()) }
+        Ok(())
     }
 
     /// Waits for something, and notices if the client goes away before it.
