--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -83,17 +83,19 @@
 
 /// Accepts for ever. What waits to be accepted counts as taken, so no more than a moment may pass.
 async fn accept(daemon: &Rc<Daemon>, listener: &Async<TcpListener>) {
+    let mut incoming = std::pin::pin!(listener.incoming());
     loop {
         let Some(permit) = daemon.client_descriptor() else {
             Timer::after(PAUSE).await;
             continue;
         };
-        match listener.accept().await {
-            Ok((stream, _)) => {
+        match incoming.next().await {
+            Some(Ok(stream)) => {
                 daemon.tasks.spawn(take_in::serve(daemon.clone(), stream, permit)).detach();
             }
-            Err(error) => {
-                log::warn!("a connection could not be accepted: {error}");
+            failed => {
+                let why = failed.and_then(Result::err);
+                log::warn!("a connection could not be accepted: {why:?}");
                 Timer::after(PAUSE).await;
             }
         }
--- a/crates/comethitchd/src/service/watch.rs
+++ b/crates/comethitchd/src/service/watch.rs
@@ -2,12 +2,15 @@
 
 use crate::memory::buffer::Buffer;
 use crate::service::daemon::Daemon;
-use crate::wire::{discovery, http};
+use crate::wire::discovery;
+use crate::wire::http::{self, Body};
 use async_io::{Async, Timer};
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::stream::{self, Stream};
+use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
 use std::future::Future;
 use std::io;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,41 +44,86 @@
     }
 }
 
-/// One request, up to the end of its answer.
+/// One request, and what it tells up to the end of its answer.
 async fn watch(daemon: &Rc<Daemon>, path: &str) -> Result<(), String> {
-    let address = daemon.site.discovery;
+    let mut lines = pin!(lines(daemon.site.discovery, path).await?);
+    while let Some(line) = lines.try_next().await? {
+        if line.trim_ascii().is_empty() {
+            continue;
+        }
+        let listing = discovery::listing(&line, &daemon.site.zones)?;
+        for entry in &listing.entries {
+            let (name, dial, lifecycle) = (&entry.name, entry.dial, entry.lifecycle);
+            let heads = if entry.heads { ", primary" } else { "" };
+            log::info!(
+                "list {}: {name} at {dial} is {lifecycle:?}{heads}, group {}",
+                listing.seq,
+                entry.shard
+            );
+        }
+        daemon.listed(&listing);
+        daemon.ready.raise();
+    }
+    Ok(())
+}
+
+/// Asks discovery, and streams the lines of its answer.
+async fn lines(
+    address: SocketAddr, path: &str,
+) -> Result<impl Stream<Item = Result<Vec<u8>, String>>, String> {
     let stream = soon("no connection comes up", Async::<TcpStream>::connect(address)).await?;
     let _ = stream.get_ref().set_nodelay(true);
     let request = http::request(path, &address.to_string());
     soon("it takes no request", (&stream).write_all(&request)).await?;
-    let mut buffer = Buffer::new(LARGEST_READ);
-    let mut body = None;
-    let mut lines = Vec::new();
-    loop {
-        let read = soon("it has fallen silent", buffer.fill(&stream)).await?;
-        if body.is_none()
-            && let Some((status, form, length)) = http::head(buffer.unread()).map_err(|e| e.0)?
-        {
-            if status != 200 {
-                return Err(format!("it answers with status {status}"));
+    let answer = Answer { stream, buffer: Buffer::new(LARGEST_READ), body: None, text: Vec::new() };
+    Ok(stream::try_unfold(answer, |mut answer| async {
+        let line = answer.line().await?;
+        Ok(line.map(|line| (line, answer)))
+    }))
+}
+
+/// An answer of discovery as it comes in.
+struct Answer {
+    stream: Async<TcpStream>,
+    buffer: Buffer,
+    body: Option<Body>,
+    /// What of the body is not yet a line.
+    text: Vec<u8>,
+}
+
+impl Answer {
+    /// The next line; the last one need not be ended.
+    async fn line(&mut self) -> Result<Option<Vec<u8>>, String> {
+        loop {
+            if let Some(end) = self.text.iter().position(|b| *b == b'\n') {
+                return Ok(Some(self.text.drain(..=end).collect()));
             }
-            buffer.consume(length);
-            body = Some(form);
-        }
-        if let Some(body) = &mut body {
-            let taken = body.take(buffer.unread(), &mut lines).map_err(|e| e.0)?;
-            buffer.consume(taken);
-            let over = read == 0 || body.over();
-            take_lines(daemon, &mut lines, over)?;
-            if over {
-                return Ok(());
+            if self.text.len() > LARGEST_LINE {
+                return Err("it sends a line without end".into());
+            }
+            if self.body.as_ref().is_some_and(Body::over) {
+                let rest = std::mem::take(&mut self.text);
+                return Ok(Some(rest).filter(|rest| !rest.is_empty()));
+            }
+            let read = soon("it has fallen silent", self.buffer.fill(&self.stream)).await?;
+            if self.body.is_none()
+                && let Some((status, body, length)) = http::head(self.buffer.unread()).map_err(|e| e.0)?
+            {
+                if status != 200 {
+                    return Err(format!("it answers with status {status}"));
+                }
+                self.buffer.consume(length);
+                self.body = Some(body);
+            }
+            match &mut self.body {
+                Some(Body::UntilClosed) if read == 0 => self.body = Some(Body::Length(0)),
+                _ if read == 0 => return Err("it closed the connection".into()),
+                Some(body) => {
+                    let taken = body.take(self.buffer.unread(), &mut self.text).map_err(|e| e.0)?;
+                    self.buffer.consume(taken);
+                }
+                None => {}
             }
-        }
-        if read == 0 {
-            return Err("it closed the connection".into());
-        }
-        if lines.len() > LARGEST_LINE {
-            return Err("it sends a line without end".into());
         }
     }
 }
@@ -88,26 +136,3 @@
     };
     step.or(late).await.map_err(|e| e.to_string())
 }
-
-/// Takes in the whole lines, and the rest too once nothing more follows.
-fn take_lines(daemon: &Rc<Daemon>, lines: &mut Vec<u8>, over: bool) -> Result<(), String> {
-    let end = if over { lines.len() } else { lines.iter().rposition(|b| *b == b'\n').map_or(0, |at| at + 1) };
-    for line in lines[..end].split(|b| *b == b'\n').filter(|line| !line.trim_ascii().is_empty()) {
-        let listing = discovery::listing(line, &daemon.site.zones)?;
-        for entry in &listing.entries {
-            log::info!(
-                "list {}: {} at {} is {:?}{}, group {}",
-                listing.seq,
-                entry.name,
-                entry.dial,
-                entry.lifecycle,
-                if entry.heads { ", primary" } else { "" },
-                entry.shard
-            );
-        }
-        daemon.listed(&listing);
-        daemon.ready.raise();
-    }
-    lines.drain(..end);
-    Ok(())
-}
