--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -320,7 +320,7 @@
     assert_eq!(client.ask(""), Got::Empty);
     assert_eq!(client.ask(&write(1, 2_000)), Got::Value(b"value".to_vec()));
     let id = child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("a signal").success());
+    assert!(Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().expect("a signal").success());
     assert!(child.wait().expect("an end").success(), "it ends by itself, with 0");
     std::fs::write(&file, "{\"settings\": {}}").expect("written");
     for command in ["serve", "check"] {
