--- a/crates/comethitchd/src/memory/clients.rs
+++ b/crates/comethitchd/src/memory/clients.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// How many descriptors may be in use, and how many are.
+/// How many descriptors one kind of connection may use, and how many it does.
 #[derive(Clone)]
 pub struct Descriptors {
     most: usize,
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -19,9 +19,10 @@
 /// Descriptors that are no connections of clients or hosts: standard streams, poller, signals, listener,
 /// discovery, the log.
 const OTHER_DESCRIPTORS: usize = 20;
-/// Of the others clients get this part at most, and may have a command in hand on this one.
-const CLIENTS_PART: (usize, usize) = (6, 8);
-const BUSY_PART: (usize, usize) = (5, 8);
+/// Of the others, clients get this part and hosts the rest, so that neither waits for what the other holds.
+const CLIENTS_PART: (usize, usize) = (5, 8);
+/// Commands may be in hand on this part of the clients' connections.
+const BUSY_PART: (usize, usize) = (4, 5);
 /// Memory that is no connection's buffer.
 const OTHER_MEMORY: u64 = 12 << 20;
 
@@ -55,6 +56,7 @@
     pub taken: Cell<u64>,
     pub answered: Cell<u64>,
     pub throttled: Cell<u64>,
+    pub at_limit: Cell<u64>,
     pub failed: Cell<u64>,
     pub left: Cell<u64>,
     pub rejected: Cell<u64>,
@@ -94,6 +96,7 @@
             ("taken", &self.taken),
             ("answered", &self.answered),
             ("throttled", &self.throttled),
+            ("throttled at the limit of connections", &self.at_limit),
             ("failed", &self.failed),
             ("clients left", &self.left),
             ("not understood", &self.rejected),
@@ -122,7 +125,8 @@
     pub pool: RefCell<Pool>,
     pub list: RefCell<List>,
     pub clients: Clients,
-    pub descriptors: Descriptors,
+    pub for_clients: Descriptors,
+    pub for_hosts: Descriptors,
     /// The list is held: clients may come.
     pub ready: Flag,
     pub tally: Tally,
@@ -135,6 +139,7 @@
     pub fn start(mut site: Site, clock: Clock) -> Rc<Daemon> {
         let by_memory = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY) / LARGEST_MESSAGE as u64;
         let connections = (site.sockets - OTHER_DESCRIPTORS).min(by_memory as usize);
+        let for_clients = connections * CLIENTS_PART.0 / CLIENTS_PART.1;
         let known = std::mem::take(&mut site.known);
         let mut acts = Acts::at(clock.now());
         let router = Router::start(site.deployment.clone(), site.seed, &mut acts);
@@ -146,7 +151,8 @@
             pool: RefCell::new(Pool::new(site.host_idle)),
             list: RefCell::default(),
             clients: Clients::default(),
-            descriptors: Descriptors::new(connections),
+            for_clients: Descriptors::new(for_clients),
+            for_hosts: Descriptors::new(connections - for_clients),
             ready: Flag::default(),
             tally: Tally::default(),
             seen: Cell::new(clock.now()),
@@ -209,8 +215,8 @@
     pub fn report(&self) {
         if let Some(told) = self.tally.told() {
             let (clients, kept) = (self.clients.len(), self.pool.borrow().len());
-            let (used, hand) = (self.descriptors.used(), self.commands.borrow().len());
-            log::info!("{told}; now {hand} in hand, {clients} clients, {kept} kept of {used} connections");
+            let (used, hand) = (self.for_hosts.used(), self.commands.borrow().len());
+            log::info!("{told}; now {hand} in hand, {clients} clients, {kept} kept of {used} to hosts");
         }
         for (host, ending, number) in self.tally.troubles.take() {
             log::warn!("{}: {ending:?} {number} times", self.list.borrow().name(host));
@@ -229,27 +235,22 @@
     /// Whether as many commands are in hand as connections allow. Past that, clients' connections are still
     /// accepted, and their commands throttled at once.
     pub fn is_full(&self) -> bool {
-        self.commands.borrow().len() >= self.descriptors.most() * BUSY_PART.0 / BUSY_PART.1
+        self.commands.borrow().len() >= self.for_clients.most() * BUSY_PART.0 / BUSY_PART.1
     }
 
-    /// A descriptor for one more client; one that idles is asked to make room if there is none.
+    /// A descriptor for one more client; if there is none, the one that has been idle longest is asked to go.
     pub fn client_descriptor(&self) -> Option<Permit> {
-        if self.clients.len() < self.descriptors.most() * CLIENTS_PART.0 / CLIENTS_PART.1 {
-            return self.descriptor();
-        }
-        self.clients.shed();
-        None
-    }
-
-    /// A descriptor for one more connection; if all are in use, an idle connection to a host makes room, or
-    /// a client's idle connection is asked to.
-    pub fn descriptor(&self) -> Option<Permit> {
-        self.descriptors.take().or_else(|| {
-            if self.pool.borrow_mut().shed() {
-                return self.descriptors.take();
-            }
+        self.for_clients.take().or_else(|| {
             self.clients.shed();
             None
         })
     }
+
+    /// A descriptor for one more connection to a host, if need be that of the one idle longest.
+    pub fn host_descriptor(&self) -> Option<Permit> {
+        self.for_hosts.take().or_else(|| {
+            self.pool.borrow_mut().shed();
+            self.for_hosts.take()
+        })
+    }
 }
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -181,7 +181,7 @@
 async fn connect(daemon: &Daemon, dial: SocketAddr) -> Result<HostConnection, ConnectionEnd> {
     let free = async {
         loop {
-            match daemon.descriptor() {
+            match daemon.host_descriptor() {
                 Some(permit) => break Ok(permit),
                 None => Timer::after(Duration::from_millis(2)).await,
             };
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -209,7 +209,7 @@
             match admit::admit(&self.daemon, text, self.arrived) {
                 // A hard limit: no decision is asked for.
                 Ok(_) if self.daemon.is_full() => {
-                    count(&self.daemon.tally.throttled);
+                    count(&self.daemon.tally.at_limit);
                     relay::put_reply(&mut out, Reply::Throttled(None));
                 }
                 Ok(admitted) => {
