Take nonsense behind a whole value for that dispatch's ending; test hosts that never greet

Seen in a new test: a second answer behind the first one was passed over and the first relayed. At fault: exchange() in stages/send.rs, which looked at the value only. A connection that breaks behind a whole value still answers.

--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -142,7 +142,9 @@
     drop(query);
     let mut answer = Answer::default();
     let ended = read(&mut connection, &mut answer).await;
-    if !answer.whole() && answer.code.is_none() {
+    // A value or a code stands if the connection breaks behind it, but not if nonsense follows.
+    let told = answer.whole() || answer.code.is_some();
+    if !told || ended == Err(ConnectionEnd::Malformed) {
         return Err(ended.err().unwrap_or(ConnectionEnd::Malformed));
     }
     if ended.is_ok() && connection.buffer.unread().is_empty() {
--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -80,6 +80,33 @@
     router.wait();
 }
 
+#[test]
+fn a_host_that_accepts_and_never_greets_has_run_nothing() {
+    let mute = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = mute.local_addr().expect("an address");
+    let router = Router::start(site(&[entry("p", address, true, "ready")], None, 1024));
+    assert_eq!(Client::connect(router.address).ask(&write(1, 900)), Got::Error("53300".into()));
+    router.wait();
+}
+
+#[test]
+fn an_answer_that_makes_no_sense_may_have_run_and_ends_its_connection() {
+    let senseless = [message(b'?', b""), message(b'D', b"\0\x01"), [row(b"a"), row(b"b")].concat()];
+    for bytes in senseless {
+        let primary = host(true, move |nth, _| match nth {
+            0 => Act::Answer(bytes.clone()),
+            _ => answer("value"),
+        });
+        let router = alone(&primary);
+        let mut client = Client::connect(router.address);
+        assert_eq!(client.ask(&write(1, 2_000)), Got::Error("40003".into()));
+        assert!(matches!(primary.next(), Met::Query(_)));
+        assert_eq!(primary.next(), Met::Ended);
+        assert_eq!(client.ask(&write(2, 2_000)), Got::Value(b"value".to_vec()), "the next one is served");
+        router.wait();
+    }
+}
+
 #[test]
 fn a_miss_and_a_turned_away_write_prove_that_nothing_ran() {
     for code in ["25006", "53300"] {
