Let no dispatch still on its way go after its command's final answer

Found in review: where a deployment allows no cancel, a second copy whose connection comes up after the answer would have been written. At fault: Handle::may_go, which did not look whether the command is done. The scenario rule-held-up fails without it.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -946,7 +946,7 @@
 
     /// Whether a dispatch that was held up on its way may still go: the age of data counts as it is written.
     pub fn may_go(self, router: &Router, nth: u16, now: Time) -> bool {
-        let Some(command) = router.commands.get(&self.0) else { return false };
+        let Some(command) = router.commands.get(&self.0).filter(|c| !c.done) else { return false };
         let i = command.dispatches[usize::from(nth)].node;
         let need = router.deployment.groups[command.group].need;
         let aged = matches!(need, Need::Bounded(_)) && !router.fresh_enough(i, need, Time(0), now);
