Blame no host for commands that come too late: they were never tried

Found while thinking a router's standstill through: commands read after it can be past their client timeout, and each was told to the module as a failed connection. Shown by a new test: five commands of 0 ms, and the next write is throttled as its primary counts as lost. At fault: within() in stages/send.rs. Ruled out: the module, which blames nobody for Moot.

--- a/crates/comethitchd/src/memory/connection.rs
+++ b/crates/comethitchd/src/memory/connection.rs
@@ -30,7 +30,7 @@
     Whole,
     /// The host answered with this SQLSTATE.
     Code(String),
-    /// There was no descriptor, no such host, or no use for it any more once it was up: never sent.
+    /// There was no time, descriptor or such host, or no use for it any more once it was up: never sent.
     NotTried,
     /// It was refused, or broke before it could be used.
     NeverUp,
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -197,7 +197,7 @@
     pub fn arrival(&self) -> Time {
         let now = self.now();
         let (from, until) = self.stood.get();
-        if now - until < self.site.deployment.beat { from.max(Time(1)) } else { now }
+        if now - until < self.site.deployment.beat { from } else { now }
     }
 
     /// Keeps for the log what a dispatch or a probe has told of a host.
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -105,8 +105,9 @@
 async fn within(
     daemon: &Daemon, host: Host, query: Vec<u8>, time_out: Span, may_go: impl Fn() -> bool,
 ) -> Result<Answer, ConnectionEnd> {
+    // Too late before it began, as after the router stood still: the host has no part in that.
     if time_out == Span(0) {
-        return Err(ConnectionEnd::Unsent);
+        return Err(ConnectionEnd::NotTried);
     }
     let written = Cell::new(false);
     let late = async {
--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -107,6 +107,19 @@
     }
 }
 
+#[test]
+fn commands_that_come_too_late_are_throttled_and_blame_no_host() {
+    let primary = host(true, |_, _| answer("value"));
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    for id in 0..5 {
+        assert_eq!(client.ask(&write(id, 0)), Got::Error("53300".into()));
+    }
+    assert_eq!(client.ask(&write(9, 2_000)), Got::Value(b"value".to_vec()));
+    assert_eq!(primary.met.try_iter().filter(|met| matches!(met, Met::Query(_))).count(), 1);
+    router.wait();
+}
+
 #[test]
 fn a_miss_and_a_turned_away_write_prove_that_nothing_ran() {
     for code in ["25006", "53300"] {
