--- a/crates/comethitchd/src/service/mod.rs
+++ b/crates/comethitchd/src/service/mod.rs
@@ -5,4 +5,5 @@
 pub mod daemon;
 pub mod listen;
 pub mod logger;
+pub mod tally;
 pub mod watch;
--- a/crates/comethitchd/src/stages/relay.rs
+++ b/crates/comethitchd/src/stages/relay.rs
@@ -1,7 +1,8 @@
 //! Fifth stage: the one final answer, to the command's client.
 
 use crate::memory::commands::Reply;
-use crate::service::daemon::{Daemon, count};
+use crate::service::daemon::Daemon;
+use crate::service::tally::count;
 use crate::wire::postgres;
 use comethitch::CommandId;
 
--- a/crates/comethitchd/src/stages/route.rs
+++ b/crates/comethitchd/src/stages/route.rs
@@ -2,7 +2,8 @@
 
 use crate::memory::commands::Reply;
 use crate::service::clock::duration;
-use crate::service::daemon::{Daemon, count};
+use crate::service::daemon::Daemon;
+use crate::service::tally::count;
 use crate::stages::admit::Admitted;
 use crate::stages::{book, relay, send};
 use async_channel::Receiver;
