End a dispatch that is too late before its task can be overtaken by a wake

Seen: with ten copies of the tests at once, a mutating command of 0 ms was failed now and then, not throttled: a wake came between the dispatch and its task, and what is out may have run. start() in stages/send.rs now ends it within the same call.

--- a/crates/comethitchd/src/memory/commands.rs
+++ b/crates/comethitchd/src/memory/commands.rs
@@ -54,10 +54,10 @@
         self.open.get(&id).map_or(0, |command| command.dispatches.len() as u16)
     }
 
-    pub fn dispatched(&mut self, id: CommandId, task: Task<()>) {
-        match self.open.get_mut(&id) {
-            Some(command) => command.dispatches.push(Some(task)),
-            None => drop(task),
+    /// Numbers a dispatch; without a task it has ended as it began.
+    pub fn dispatched(&mut self, id: CommandId, task: Option<Task<()>>) {
+        if let Some(command) = self.open.get_mut(&id) {
+            command.dispatches.push(task);
         }
     }
 
--- a/crates/comethitchd/src/stages/route.rs
+++ b/crates/comethitchd/src/stages/route.rs
@@ -1,6 +1,7 @@
 //! Third stage: calls into the module, and its acts, which are carried out once the call has returned.
 
 use crate::memory::commands::Reply;
+use crate::memory::connection::ConnectionEnd;
 use crate::service::clock::duration;
 use crate::service::daemon::Daemon;
 use crate::service::tally::count;
@@ -79,14 +80,17 @@
 }
 
 pub fn carry_out(daemon: &Rc<Daemon>, acts: Acts) {
-    let mut called_off = Vec::new();
+    let mut ended = Vec::new();
     for act in acts.queue {
         match act {
-            Act::Dispatch(id, host, time_out) => send::start(daemon, id, host, time_out),
+            Act::Dispatch(id, host, time_out) => {
+                let late = send::start(daemon, id, host, time_out);
+                ended.extend(late.map(|nth| (id, nth, ConnectionEnd::NotTried)));
+            }
             Act::Cancel(id, nth) => {
                 // Dropping the task closes its connection.
                 let task = daemon.commands.borrow_mut().take_dispatch(id, nth);
-                called_off.extend(task.map(|_| (id, nth)));
+                ended.extend(task.map(|_| (id, nth, ConnectionEnd::GivenUp)));
             }
             Act::Final(id, reply) => {
                 relay::answer(daemon, id, reply);
@@ -102,8 +106,8 @@
             Act::Wake(after) => wake(daemon, after),
         }
     }
-    for (id, nth) in called_off {
-        book::ended(daemon, id, nth, send::Outcome::given_up());
+    for (id, nth, end) in ended {
+        book::ended(daemon, id, nth, Err(end).into());
     }
 }
 
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -29,12 +29,6 @@
     pub value: Vec<u8>,
 }
 
-impl Outcome {
-    pub fn given_up() -> Outcome {
-        Err(ConnectionEnd::GivenUp).into()
-    }
-}
-
 impl From<Result<Answer, ConnectionEnd>> for Outcome {
     fn from(ended: Result<Answer, ConnectionEnd>) -> Outcome {
         match ended {
@@ -51,11 +45,16 @@
     }
 }
 
-/// Starts the command's next dispatch.
-pub fn start(daemon: &Rc<Daemon>, id: CommandId, host: Host, time_out: Span) {
+/// Starts the command's next dispatch. One that is too late before it begins, as after the router stood still,
+/// is not tried, and its number returned: the host has no part in that.
+pub fn start(daemon: &Rc<Daemon>, id: CommandId, host: Host, time_out: Span) -> Option<u16> {
     let mut commands = daemon.commands.borrow_mut();
-    let Some(statement) = commands.statement(id) else { return };
+    let statement = commands.statement(id)?;
     let nth = commands.next_dispatch(id);
+    if time_out == Span(0) {
+        commands.dispatched(id, None);
+        return Some(nth);
+    }
     let held = daemon.clone();
     let task = daemon.tasks.spawn(async move {
         let query = query(&statement, time_out);
@@ -67,7 +66,8 @@
         held.met(host, outcome.end.ending(), outcome.noted.role);
         book::ended(&held, id, nth, outcome);
     });
-    commands.dispatched(id, task);
+    commands.dispatched(id, Some(task));
+    None
 }
 
 /// The statement as it came, but for how long the router waits.
@@ -106,10 +106,6 @@
 async fn within(
     daemon: &Daemon, host: Host, query: Vec<u8>, time_out: Span, may_go: impl Fn() -> bool,
 ) -> Result<Answer, ConnectionEnd> {
-    // Too late before it began, as after the router stood still: the host has no part in that.
-    if time_out == Span(0) {
-        return Err(ConnectionEnd::NotTried);
-    }
     let written = Cell::new(false);
     let late = async {
         Timer::after(duration(time_out)).await;
