Let one piece serve where the daemon had twins; take the beat from the module's own wake

The router's standstill was told by a beat that the daemon worked out anew at every call, with the module's own ratio; now it is the span for which the module asked to be woken. One Malformed for both protocols, one Flag for readiness and for closing a client, one wait with what comes of it in place of six blocks and send::late, one counting of kinds, one framing of a body behind its length, and a greeting's 53300 read by the one mapping. Results that nobody used are gone. In the tests a configuration stays an object until it is read, and scenarios read 1.0 in one place.

--- a/crates/comethitch/tests/scenarios.rs
+++ b/crates/comethitch/tests/scenarios.rs
@@ -113,6 +113,12 @@
     }
 }
 
+/// The command and the dispatch that `1.0` names.
+fn numbers(which: &str) -> (CommandId, u16) {
+    let (id, nth) = which.split_once('.').expect("command and dispatch");
+    (id.parse().expect("an id"), nth.parse().expect("a dispatch"))
+}
+
 fn ending(word: &str) -> Ending {
     match word {
         "ok" => Ending::Answered,
@@ -218,18 +224,17 @@
                 router.take(id, group, 0, 1, since, span(time), acts);
             }
             ["ended", which, end, told @ ..] => {
-                let (id, nth) = which.split_once('.').expect("command and dispatch");
+                let (id, nth) = numbers(which);
                 let (over, noted) = (told.contains(&"over"), self.standing(told));
                 let (router, acts) = self.router();
-                let handle = router.handle(id.parse().expect("an id")).ok_or("no such command is known")?;
-                let nth = nth.parse().expect("a dispatch");
+                let handle = router.handle(id).ok_or("no such command is known")?;
                 handle.dispatch_ended(router, nth, ending(end), over, noted, Standing::default(), acts);
             }
             ["held", which, wanted] => {
-                let (id, nth) = which.split_once('.').expect("command and dispatch");
+                let (id, nth) = numbers(which);
                 let (router, acts) = self.router();
-                let handle = router.handle(id.parse().expect("an id")).ok_or("no such command is known")?;
-                let may = handle.may_go(router, nth.parse().expect("a dispatch"), acts.now);
+                let handle = router.handle(id).ok_or("no such command is known")?;
+                let may = handle.may_go(router, nth, acts.now);
                 if may != (*wanted == "may") {
                     return Err(format!("may go: {may}"));
                 }
--- a/crates/comethitchd/src/memory/clients.rs
+++ b/crates/comethitchd/src/memory/clients.rs
@@ -1,13 +1,12 @@
 //! Descriptors, and the connections of clients that hold most of them.
 
-use async_channel::{Receiver, Sender};
+use crate::memory::flag::Flag;
 use comethitch::time::Time;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// How many descriptors one kind of connection may use, and how many it does.
-#[derive(Clone)]
 pub struct Descriptors {
     most: usize,
     used: Rc<Cell<usize>>,
@@ -45,7 +44,7 @@
 }
 
 /// A client's connection: since when it is idle, if it is, and what closes it.
-type Open = (Option<Time>, Sender<()>);
+type Open = (Option<Time>, Flag);
 
 /// The clients' open connections.
 #[derive(Default)]
@@ -55,13 +54,13 @@
 }
 
 impl Clients {
-    /// Enters a connection; what it returns is closed when the connection should be.
-    pub fn enter(&self) -> (u32, Receiver<()>) {
-        let (sender, receiver) = async_channel::bounded(1);
+    /// Enters a connection; what it returns is raised when the connection should close.
+    pub fn enter(&self) -> (u32, Flag) {
+        let close = Flag::default();
         let number = self.next.get();
         self.next.set(number.wrapping_add(1));
-        self.open.borrow_mut().insert(number, (None, sender));
-        (number, receiver)
+        self.open.borrow_mut().insert(number, (None, close.clone()));
+        (number, close)
     }
 
     pub fn leave(&self, number: u32) {
@@ -75,18 +74,17 @@
     }
 
     /// Asks the connection that has been idle longest to close.
-    pub fn shed(&self) -> bool {
-        let mut open = self.open.borrow_mut();
-        let idle = open.iter().filter(|(_, (since, close))| since.is_some() && !close.is_closed());
-        let longest = idle.min_by_key(|(_, (since, _))| *since).map(|(number, _)| *number);
-        longest.and_then(|number| open.get_mut(&number)).is_some_and(|(_, close)| close.close())
+    pub fn shed(&self) {
+        let open = self.open.borrow();
+        let idle = open.values().filter(|(since, close)| since.is_some() && !close.is_raised());
+        if let Some((_, close)) = idle.min_by_key(|(since, _)| *since) {
+            close.raise();
+        }
     }
 
     /// Asks every connection to close once it has nothing in hand.
     pub fn close_all(&self) {
-        self.open.borrow().values().for_each(|(_, close)| {
-            close.close();
-        });
+        self.open.borrow().values().for_each(|(_, close)| close.raise());
     }
 
     pub fn len(&self) -> usize {
--- a/crates/comethitchd/src/memory/mod.rs
+++ b/crates/comethitchd/src/memory/mod.rs
@@ -4,5 +4,6 @@
 pub mod clients;
 pub mod commands;
 pub mod connection;
+pub mod flag;
 pub mod list;
 pub mod pool;
--- a/crates/comethitchd/src/memory/pool.rs
+++ b/crates/comethitchd/src/memory/pool.rs
@@ -48,15 +48,14 @@
     }
 
     /// Closes the one that has been idle longest of all, to free its descriptor.
-    pub fn shed(&mut self) -> bool {
+    pub fn shed(&mut self) {
         let oldest = |(host, idle): (&Host, &Vec<HostConnection>)| {
             idle.first().map(|connection| (connection.idle_since, *host))
         };
-        let Some((_, host)) = self.idle.iter().filter_map(oldest).min() else { return false };
-        self.idle.get_mut(&host).is_some_and(|idle| {
+        let oldest = self.idle.iter().filter_map(oldest).min();
+        if let Some(idle) = oldest.and_then(|(_, host)| self.idle.get_mut(&host)) {
             idle.remove(0);
-            true
-        })
+        }
     }
 
     pub fn len(&self) -> usize {
--- a/crates/comethitchd/src/service/clock.rs
+++ b/crates/comethitchd/src/service/clock.rs
@@ -1,5 +1,6 @@
 //! Unix time that never goes back: the system's clock once, the monotonic one from there.
 
+use async_io::Timer;
 use comethitch::time::{Span, Time};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -20,6 +21,12 @@
     }
 }
 
+/// What has come of a wait once it is over.
+pub async fn after<T>(wait: Duration, then: T) -> T {
+    Timer::after(wait).await;
+    then
+}
+
 pub fn duration(span: Span) -> Duration {
     Duration::from_micros(span.0)
 }
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -2,15 +2,15 @@
 
 use crate::memory::clients::{Clients, Descriptors, Permit};
 use crate::memory::commands::Commands;
+use crate::memory::flag::Flag;
 use crate::memory::list::List;
 use crate::memory::pool::Pool;
 use crate::service::clock::Clock;
 use crate::service::configuration::Site;
-use crate::service::tally::Tally;
+use crate::service::tally::{Tally, count_kind};
 use crate::stages::route::{self, Acts};
 use crate::wire::discovery::Listing;
 use crate::wire::postgres::LARGEST_MESSAGE;
-use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use comethitch::time::{Span, Time};
 use comethitch::{Ending, Host, Role, Router};
@@ -27,30 +27,6 @@
 /// Memory that is no connection's buffer.
 const OTHER_MEMORY: u64 = 12 << 20;
 
-/// Raised once; any number of tasks can wait for it.
-pub struct Flag(Sender<()>, Receiver<()>);
-
-impl Default for Flag {
-    fn default() -> Flag {
-        let (sender, receiver) = async_channel::bounded(1);
-        Flag(sender, receiver)
-    }
-}
-
-impl Flag {
-    pub fn raise(&self) {
-        self.0.close();
-    }
-
-    pub fn is_raised(&self) -> bool {
-        self.0.is_closed()
-    }
-
-    pub async fn raised(&self) {
-        let _ = self.1.recv().await;
-    }
-}
-
 pub struct Daemon {
     pub site: Site,
     pub clock: Clock,
@@ -65,6 +41,10 @@
     /// The list is held: clients may come.
     pub ready: Flag,
     pub tally: Tally,
+    /// The span after which the module last asked to be woken.
+    pub beat: Cell<Span>,
+    /// The longest that any client waits.
+    pub longest_timeout: Span,
     seen: Cell<Time>,
     /// When the router last stood still, if it ever did: from, and until.
     stood: Cell<(Time, Time)>,
@@ -76,6 +56,7 @@
         let connections = (site.sockets - OTHER_DESCRIPTORS).min(by_memory as usize);
         let for_clients = connections * CLIENTS_PART.0 / CLIENTS_PART.1;
         let known = std::mem::take(&mut site.known);
+        let timeouts = site.deployment.groups.iter().map(|group| group.timeout);
         let mut acts = Acts::at(clock.now());
         let router = Router::start(site.deployment.clone(), site.seed, &mut acts);
         let daemon = Rc::new(Daemon {
@@ -90,6 +71,8 @@
             for_hosts: Descriptors::new(connections - for_clients),
             ready: Flag::default(),
             tally: Tally::default(),
+            beat: Cell::default(),
+            longest_timeout: timeouts.max().unwrap_or_default(),
             seen: Cell::new(clock.now()),
             stood: Cell::default(),
             site,
@@ -119,8 +102,7 @@
     /// The present. Gaps between calls show that the router stood still: it wakes at every beat.
     pub fn now(&self) -> Time {
         let now = self.clock.now();
-        let beat = self.site.deployment.beat.max(self.shortest_target() / 16);
-        if now - self.seen.get() > beat * 2 {
+        if now - self.seen.get() > self.beat.get() * 2 {
             self.stood.set((self.seen.get(), now));
             log::warn!("stood still for {} ms", (now - self.seen.get()).0 / 1_000);
         }
@@ -138,7 +120,7 @@
     /// Keeps for the log what a dispatch or a probe has told of a host.
     pub fn met(&self, host: Host, ending: Ending, role: Option<Role>) {
         if !matches!(ending, Ending::Answered | Ending::Cancelled) {
-            self.tally.trouble(host, ending);
+            count_kind(&self.tally.troubles, (host, ending));
         }
         let mut list = self.list.borrow_mut();
         if let Some(role) = role.filter(|role| list.tells(host, *role)) {
@@ -153,20 +135,11 @@
             let (used, hand) = (self.for_hosts.used(), self.commands.borrow().len());
             log::info!("{told}; now {hand} in hand, {clients} clients, {kept} kept of {used} to hosts");
         }
-        for (host, ending, number) in self.tally.troubles.take() {
+        for ((host, ending), number) in self.tally.troubles.take() {
             log::warn!("{}: {ending:?} {number} times", self.list.borrow().name(host));
         }
     }
 
-    fn shortest_target(&self) -> Span {
-        self.site.deployment.groups.iter().map(|group| group.target).min().unwrap_or_default()
-    }
-
-    /// The longest that any client waits.
-    pub fn longest_timeout(&self) -> Span {
-        self.site.deployment.groups.iter().map(|group| group.timeout).max().unwrap_or_default()
-    }
-
     /// Whether as many commands are in hand as connections allow. Past that, clients' connections are still
     /// accepted, and their commands throttled at once.
     pub fn is_full(&self) -> bool {
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -1,6 +1,6 @@
 //! Listens from start to stop.
 
-use crate::service::clock::{Clock, duration};
+use crate::service::clock::{Clock, after, duration};
 use crate::service::configuration::Site;
 use crate::service::daemon::Daemon;
 use crate::service::watch;
@@ -56,10 +56,7 @@
     let work = async {
         stop.or(accept(&daemon, &listener)).await;
         log::info!("asked to stop: {} connections, {} commands", daemon.clients.len(), in_hand(&daemon));
-        let coming = async {
-            Timer::after(STILL_COMING).await;
-        };
-        coming.or(accept(&daemon, &listener)).await;
+        after(STILL_COMING, ()).or(accept(&daemon, &listener)).await;
         drop(listener);
         daemon.clients.close_all();
         let through = async {
@@ -67,10 +64,7 @@
                 Timer::after(PAUSE).await;
             }
         };
-        let late = async {
-            Timer::after(duration(daemon.longest_timeout()) + LAST_WORDS - STILL_COMING).await;
-        };
-        through.or(late).await;
+        through.or(after(duration(daemon.longest_timeout) + LAST_WORDS - STILL_COMING, ())).await;
         daemon.report();
         log::info!("stopped with {} commands in hand", in_hand(&daemon));
     };
--- a/crates/comethitchd/src/service/tally.rs
+++ b/crates/comethitchd/src/service/tally.rs
@@ -18,31 +18,23 @@
     pub connected: Cell<u64>,
     pub endings: RefCell<Vec<(Ending, u64)>>,
     /// By host, what was neither answered nor called off; probes too.
-    pub troubles: RefCell<Vec<(Host, Ending, u64)>>,
+    pub troubles: RefCell<Vec<((Host, Ending), u64)>>,
 }
 
 pub fn count(of: &Cell<u64>) {
     of.set(of.get() + 1);
 }
 
-impl Tally {
-    pub fn ended(&self, ending: Ending) {
-        let mut endings = self.endings.borrow_mut();
-        match endings.iter_mut().find(|(known, _)| *known == ending) {
-            Some((_, number)) => *number += 1,
-            None => endings.push((ending, 1)),
-        }
-    }
-
-    /// Counts what went wrong at a host.
-    pub fn trouble(&self, host: Host, ending: Ending) {
-        let mut troubles = self.troubles.borrow_mut();
-        match troubles.iter_mut().find(|(known, how, _)| (*known, *how) == (host, ending)) {
-            Some((.., number)) => *number += 1,
-            None => troubles.push((host, ending, 1)),
-        }
+/// Counts one more of a kind.
+pub fn count_kind<K: PartialEq>(of: &RefCell<Vec<(K, u64)>>, kind: K) {
+    let mut of = of.borrow_mut();
+    match of.iter_mut().find(|(known, _)| *known == kind) {
+        Some((_, number)) => *number += 1,
+        None => of.push((kind, 1)),
     }
+}
 
+impl Tally {
     /// What was counted, in words, and from nothing again; none if nothing was.
     pub fn told(&self) -> Option<String> {
         let named = [
--- a/crates/comethitchd/src/service/watch.rs
+++ b/crates/comethitchd/src/service/watch.rs
@@ -1,6 +1,7 @@
 //! Follows discovery's list.
 
 use crate::memory::buffer::Buffer;
+use crate::service::clock::after;
 use crate::service::daemon::Daemon;
 use crate::wire::discovery;
 use crate::wire::http::{self, Body};
@@ -130,9 +131,5 @@
 
 /// Nothing of a watch takes longer than some empty lines.
 async fn soon<T>(late: &'static str, step: impl Future<Output = io::Result<T>>) -> Result<T, String> {
-    let late = async {
-        Timer::after(EMPTY_LINES * 3).await;
-        Err(io::Error::other(late))
-    };
-    step.or(late).await.map_err(|e| e.to_string())
+    step.or(after(EMPTY_LINES * 3, Err(io::Error::other(late)))).await.map_err(|e| e.to_string())
 }
--- a/crates/comethitchd/src/stages/book.rs
+++ b/crates/comethitchd/src/stages/book.rs
@@ -3,6 +3,7 @@
 use crate::memory::commands::Reply;
 use crate::memory::connection::ConnectionEnd;
 use crate::service::daemon::Daemon;
+use crate::service::tally::count_kind;
 use crate::stages::send::Outcome;
 use crate::stages::{relay, route};
 use comethitch::CommandId;
@@ -11,7 +12,7 @@
 pub fn ended(daemon: &Rc<Daemon>, id: CommandId, nth: u16, outcome: Outcome) {
     let Outcome { end, noted, reported, value } = outcome;
     let ending = end.ending();
-    daemon.tally.ended(ending);
+    count_kind(&daemon.tally.endings, ending);
     // The first whole value goes to the client on its own.
     if end == ConnectionEnd::Whole {
         relay::answer(daemon, id, Reply::Value(value));
--- a/crates/comethitchd/src/stages/relay.rs
+++ b/crates/comethitchd/src/stages/relay.rs
@@ -7,17 +7,15 @@
 use comethitch::CommandId;
 
 /// Gives the final answer if none was given yet.
-pub fn answer(daemon: &Daemon, id: CommandId, reply: Reply) -> bool {
+pub fn answer(daemon: &Daemon, id: CommandId, reply: Reply) {
     let counter = match &reply {
         Reply::Value(_) => &daemon.tally.answered,
         Reply::Throttled(_) => &daemon.tally.throttled,
         Reply::Failed => &daemon.tally.failed,
     };
-    let given = daemon.commands.borrow_mut().answer(id, reply);
-    if given {
+    if daemon.commands.borrow_mut().answer(id, reply) {
         count(counter);
     }
-    given
 }
 
 /// The answer as the client reads it, short of ReadyForQuery.
--- a/crates/comethitchd/src/stages/route.rs
+++ b/crates/comethitchd/src/stages/route.rs
@@ -72,11 +72,10 @@
 }
 
 /// Calls into the module, then does what it wants done.
-pub fn decide<T>(daemon: &Rc<Daemon>, call: impl FnOnce(&mut Router, &mut Acts) -> T) -> T {
+pub fn decide(daemon: &Rc<Daemon>, call: impl FnOnce(&mut Router, &mut Acts)) {
     let mut acts = Acts::at(daemon.now());
-    let result = call(&mut daemon.router.borrow_mut(), &mut acts);
+    call(&mut daemon.router.borrow_mut(), &mut acts);
     carry_out(daemon, acts);
-    result
 }
 
 pub fn carry_out(daemon: &Rc<Daemon>, acts: Acts) {
@@ -92,9 +91,7 @@
                 let task = daemon.commands.borrow_mut().take_dispatch(id, nth);
                 ended.extend(task.map(|_| (id, nth, ConnectionEnd::GivenUp)));
             }
-            Act::Final(id, reply) => {
-                relay::answer(daemon, id, reply);
-            }
+            Act::Final(id, reply) => relay::answer(daemon, id, reply),
             Act::Probe(host) => send::probe(daemon, host),
             Act::CloseIdle(host) => {
                 log::warn!(
@@ -112,6 +109,7 @@
 }
 
 fn wake(daemon: &Rc<Daemon>, after: Span) {
+    daemon.beat.set(after);
     let sleeper = daemon.clone();
     let woken = async move {
         Timer::after(duration(after)).await;
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -3,7 +3,7 @@
 use crate::memory::buffer::Buffer;
 use crate::memory::commands::Statement;
 use crate::memory::connection::{ConnectionEnd, HostConnection};
-use crate::service::clock::duration;
+use crate::service::clock::{after, duration};
 use crate::service::daemon::Daemon;
 use crate::service::tally::count;
 use crate::stages::{book, route};
@@ -11,16 +11,13 @@
 use crate::wire::standing;
 use async_io::{Async, Timer};
 use comethitch::time::Span;
-use comethitch::{CommandId, Host, Standing};
+use comethitch::{CommandId, Ending, Host, Standing};
 use futures_lite::{AsyncWriteExt, FutureExt};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The one code in a greeting that tells more than that no connection came up.
-const TOO_MANY: &str = "53300";
-
 /// How a dispatch ended, and what its answer told.
 pub struct Outcome {
     pub end: ConnectionEnd,
@@ -171,12 +168,6 @@
     }
 }
 
-/// What a connection that takes longer than it may has come to.
-async fn late<T>(daemon: &Daemon, end: ConnectionEnd) -> Result<T, ConnectionEnd> {
-    Timer::after(duration(daemon.site.deployment.connect_timeout)).await;
-    Err(end)
-}
-
 /// Connects and lets the host greet, so that what breaks until then is known never to have run.
 async fn connect(daemon: &Daemon, dial: SocketAddr) -> Result<HostConnection, ConnectionEnd> {
     let free = async {
@@ -187,7 +178,8 @@
             };
         }
     };
-    let permit = free.or(late(daemon, ConnectionEnd::NotTried)).await?;
+    let limit = duration(daemon.site.deployment.connect_timeout);
+    let permit = free.or(after(limit, Err(ConnectionEnd::NotTried))).await?;
     let open = async {
         let stream = Async::<TcpStream>::connect(dial).await.map_err(|_| ConnectionEnd::NeverUp)?;
         count(&daemon.tally.connected);
@@ -199,12 +191,13 @@
         let mut connection = HostConnection { stream, buffer, dial, idle_since: daemon.clock.now(), permit };
         let mut greeting = Answer::default();
         let greeted = read(&mut connection, &mut greeting).await;
-        match greeting.code {
-            Some(code) if code == TOO_MANY => Err(ConnectionEnd::Code(code)),
-            Some(_) => Err(ConnectionEnd::NeverUp),
+        // Of the codes in a greeting, one tells more than that no connection came up.
+        let full = greeting.code.map(ConnectionEnd::Code).filter(|end| end.ending() == Ending::Full);
+        match full {
+            Some(full) => Err(full),
             None if greeted.is_ok() => Ok(connection),
             None => Err(ConnectionEnd::NeverUp),
         }
     };
-    open.or(late(daemon, ConnectionEnd::NeverUp)).await
+    open.or(after(limit, Err(ConnectionEnd::NeverUp))).await
 }
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -3,14 +3,15 @@
 use crate::memory::buffer::Buffer;
 use crate::memory::clients::Permit;
 use crate::memory::commands::Reply;
-use crate::service::clock::duration;
+use crate::memory::flag::Flag;
+use crate::service::clock::{after, duration};
 use crate::service::daemon::Daemon;
 use crate::service::tally::count;
 use crate::stages::{admit, relay, route};
-use crate::wire::postgres::{self, LARGEST_MESSAGE, Malformed, Opening};
-use async_channel::Receiver;
-use async_io::{Async, Timer};
-use comethitch::time::{Span, Time};
+use crate::wire::Malformed;
+use crate::wire::postgres::{self, LARGEST_MESSAGE, Opening};
+use async_io::Async;
+use comethitch::time::Time;
 use futures_lite::{AsyncWriteExt, FutureExt, future};
 use std::future::Future;
 use std::io;
@@ -28,7 +29,7 @@
     stream: Async<TcpStream>,
     buffer: Buffer,
     number: u32,
-    closing: Receiver<()>,
+    closing: Flag,
     /// When the bytes read last came in.
     arrived: Time,
     _permit: Permit,
@@ -133,20 +134,16 @@
         });
         let fill = async { Ok(self.buffer.fill(stream).await?) };
         let close = async {
-            let _ = closing.recv().await;
+            closing.raised().await;
             // A command that has begun to come in is waited for, and for a moment a first one that has not.
             match (empty, between) {
                 (true, true) => {}
-                (true, false) => _ = Timer::after(duration(soon)).await,
+                (true, false) => after(duration(soon), ()).await,
                 (false, _) => future::pending::<()>().await,
             }
             Err(Stop::Closing)
         };
-        let late = async {
-            Timer::after(limit).await;
-            Err(Stop::Closing)
-        };
-        let read = fill.or(close).or(late).await;
+        let read = fill.or(close).or(after(limit, Err(Stop::Closing))).await;
         self.daemon.clients.idles(self.number, None);
         match read {
             Ok(0) => return Err(Stop::Left),
@@ -259,10 +256,7 @@
     /// Writes within the longest time that a client waits.
     async fn write(&self, bytes: &[u8]) -> Result<(), Stop> {
         let mut stream = &self.stream;
-        let late = async {
-            Timer::after(duration(self.daemon.longest_timeout().max(Span(1)))).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        Ok(stream.write_all(bytes).or(late).await?)
+        let late = Err(io::ErrorKind::TimedOut.into());
+        Ok(stream.write_all(bytes).or(after(duration(self.daemon.longest_timeout), late)).await?)
     }
 }
--- a/crates/comethitchd/src/wire/http.rs
+++ b/crates/comethitchd/src/wire/http.rs
@@ -1,7 +1,6 @@
 //! HTTP/1.1 as far as a watch needs it: a request, the head of an answer, and its chunked body.
 
-#[derive(Debug, PartialEq, Eq)]
-pub struct Malformed(pub &'static str);
+use crate::wire::Malformed;
 
 const LARGEST_HEAD: usize = 16 * 1024;
 const LARGEST_SIZE_LINE: usize = 1024;
@@ -49,6 +48,14 @@
     Ok(Some((status, body, end + 4)))
 }
 
+/// Moves what `bytes` hold of the `left` bytes behind `out`, and tells how many that were.
+fn take_some(left: &mut u64, bytes: &[u8], out: &mut Vec<u8>) -> usize {
+    let now = bytes.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+    out.extend(&bytes[..now]);
+    *left -= now as u64;
+    now
+}
+
 impl Body {
     /// Moves what `bytes` hold of the body behind `out`, and tells how many of them are done with.
     pub fn take(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<usize, Malformed> {
@@ -57,12 +64,7 @@
                 out.extend(bytes);
                 Ok(bytes.len())
             }
-            Body::Length(left) => {
-                let now = bytes.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
-                out.extend(&bytes[..now]);
-                *left -= now as u64;
-                Ok(now)
-            }
+            Body::Length(left) => Ok(take_some(left, bytes, out)),
             Body::Chunked(chunk) => {
                 let mut done = 0;
                 while let Some(step) = chunk.step(&bytes[done..], out)? {
@@ -85,9 +87,7 @@
             return Ok(None);
         }
         if let Chunk::Data(left) = self {
-            let now = bytes.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
-            out.extend(&bytes[..now]);
-            *left -= now as u64;
+            let now = take_some(left, bytes, out);
             if *left == 0 {
                 *self = Chunk::DataEnd;
             }
--- a/crates/comethitchd/src/wire/mod.rs
+++ b/crates/comethitchd/src/wire/mod.rs
@@ -5,3 +5,7 @@
 pub mod postgres;
 pub mod standing;
 pub mod statement;
+
+/// Why bytes are not what is spoken: the framing is lost, and with it the connection.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
--- a/crates/comethitchd/src/wire/postgres.rs
+++ b/crates/comethitchd/src/wire/postgres.rs
@@ -1,5 +1,6 @@
 //! Framing of the PostgreSQL protocol, version 3, as a server to clients and as a client to hosts.
 
+use crate::wire::Malformed;
 use std::borrow::Cow;
 
 /// A value is at most 64 KiB; written as hexadecimal text it takes twice that, and the statement some more.
@@ -11,10 +12,6 @@
 const TLS: u32 = 80_877_103;
 const GSS: u32 = 80_877_104;
 
-/// Why bytes are no message: the framing is lost, and with it the connection.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Malformed(pub &'static str);
-
 /// What a client opens a connection with.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Opening {
@@ -79,6 +76,11 @@
 /// A message of this kind whose body the caller writes.
 fn put(out: &mut Vec<u8>, kind: u8, body: impl FnOnce(&mut Vec<u8>)) {
     out.push(kind);
+    put_sized(out, body);
+}
+
+/// A body behind its length.
+fn put_sized(out: &mut Vec<u8>, body: impl FnOnce(&mut Vec<u8>)) {
     let at = out.len();
     out.extend([0; 4]);
     body(out);
@@ -86,22 +88,23 @@
     out[at..at + 4].copy_from_slice(&length.to_be_bytes());
 }
 
+fn put_pair(out: &mut Vec<u8>, (name, value): (&str, &str)) {
+    put_text(out, name);
+    put_text(out, value);
+}
+
 fn put_text(out: &mut Vec<u8>, text: &str) {
     out.extend(text.bytes().filter(|b| *b != 0));
     out.push(0);
 }
 
 pub fn put_startup(out: &mut Vec<u8>, user: &str, database: &str) {
-    let at = out.len();
-    out.extend([0; 4]);
-    out.extend(VERSION_3.to_be_bytes());
-    [("user", user), ("database", database)].iter().for_each(|(name, value)| {
-        put_text(out, name);
-        put_text(out, value);
+    put_sized(out, |out| {
+        out.extend(VERSION_3.to_be_bytes());
+        put_pair(out, ("user", user));
+        put_pair(out, ("database", database));
+        out.push(0);
     });
-    out.push(0);
-    let length = (out.len() - at) as u32;
-    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
 }
 
 /// Lets a client in, and tells it that it may ask.
@@ -117,12 +120,7 @@
         ("standard_conforming_strings", "on"),
         ("integer_datetimes", "on"),
     ];
-    for (name, value) in told {
-        put(out, b'S', |out| {
-            put_text(out, name);
-            put_text(out, value);
-        });
-    }
+    told.into_iter().for_each(|pair| put(out, b'S', |out| put_pair(out, pair)));
     put(out, b'K', |out| out.extend([number.to_be_bytes(), [0; 4]].concat()));
     put_ready(out);
 }
--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -138,11 +138,10 @@
     let replica = host_since(false, |nth, _| if nth == 0 { Act::Silence } else { answer("old") }, still);
     let primary = host(true, |_, _| answer("new"));
     let hosts = [entry("p", primary.address, true, "ready"), entry("r", replica.address, false, "ready")];
-    let mut all: serde_json::Value =
-        serde_json::from_str(&site(&hosts, None, 1024)).expect("a configuration");
+    let mut all = site(&hosts, None, 1024);
     all["settings"]["domain"]["oldest_data_us"][0] = 2_000_000.into();
     all["settings"]["permissions"]["connect_timeout_us"] = 10_000_000.into();
-    let router = Router::start(all.to_string());
+    let router = Router::start(all);
     // Once the replica is known to be fresh, a read takes its one greeted connection; the next needs another.
     let mut kept = Vec::new();
     while !matches!(replica.met.recv_timeout(std::time::Duration::from_millis(20)), Ok(Met::Query(_))) {
@@ -250,11 +249,11 @@
     let elsewhere = write(1, 60_000).replace("cluster=0", "cluster=1");
     let primary = host(true, |_, _| answer("value"));
     let hosts = [entry("p", primary.address, true, "ready")];
-    let mut all: serde_json::Value = serde_json::from_str(&site(&hosts, None, 64)).expect("a configuration");
+    let mut all = site(&hosts, None, 64);
     // With a long target a command waits long for hosts that are not there.
     all["settings"]["classes"][2]["target_us"] = 60_000_000.into();
     all["settings"]["permissions"]["connect_timeout_us"] = 10_000_000.into();
-    let router = Router::start(all.to_string());
+    let router = Router::start(all);
     let mut held: Vec<Client> = (0..22).map(|_| Client::connect(router.address)).collect();
     held.iter_mut().for_each(|client| client.0.write_all(&query(&elsewhere)).expect("sent"));
     let mut throttled =
@@ -348,7 +347,8 @@
     std::fs::create_dir_all(&folder).expect("a folder");
     let file = folder.join("configuration.json");
     let primary = host(true, |_, _| answer("value"));
-    std::fs::write(&file, site(&[entry("p", primary.address, true, "ready")], None, 1024)).expect("written");
+    std::fs::write(&file, site(&[entry("p", primary.address, true, "ready")], None, 1024).to_string())
+        .expect("written");
     let mut child = Command::new(program)
         .arg("serve")
         .env("RELAY_CONFIG", &file)
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -188,14 +188,14 @@
 }
 
 /// A configuration with these hosts, none of them changing unless a discovery is given.
-pub fn site(hosts: &[Value], discovery: Option<&Discovery>, sockets: usize) -> String {
+pub fn site(hosts: &[Value], discovery: Option<&Discovery>, sockets: usize) -> Value {
     let mut all: Value = serde_json::from_str(SAMPLE).expect("the sample");
     all["known"] = json!({"seq": 7, "whole": true, "hosts": hosts});
     all["limits"]["sockets"] = sockets.into();
     all["listen"] = "127.0.0.1:0".into();
     // Without one, an address where nothing listens.
     all["discovery"] = discovery.map_or("127.0.0.1:1".into(), |d| d.address.to_string().into());
-    all.to_string()
+    all
 }
 
 pub struct Router {
@@ -205,12 +205,12 @@
 }
 
 impl Router {
-    pub fn start(site: String) -> Router {
+    pub fn start(site: Value) -> Router {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let thread = spawn(move || {
-            let site = Site::read(&site, |_| None).expect("a configuration");
+            let site = Site::read(&site.to_string(), |_| None).expect("a configuration");
             let listener = Async::new(listener).expect("a listener");
             async_io::block_on(listen::serve(Daemon::start(site, Clock::start()), listener, async {
                 let _ = stopped.recv().await;
