Read the configuration again at SIGHUP and follow the discovery it names

Checked: the exit code is the signal's default action; service/listen.rs registered SIGTERM and SIGINT only, and service/watch.rs asked the address of the start for ever. Ruled out: a panic (nothing in the log).

Now listen.rs hears signals up to the end of the process; daemon.rs takes over another discovery and drops the version it had of the list; watch.rs leaves the old watch and begins with the new one's whole list. An address that does not come up or begin its answer within 0.75 s is tried anew, so that silence at the first try still leaves the list held within 4 s. Keys that can't change in a running router are named in the log; a faulty file changes nothing.

Test: serving.rs, sighup_changes_to_another_discovery_and_a_faulty_file_changes_nothing.

--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -104,7 +104,7 @@
     Wait,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct CommandGroup {
     pub target: Span,
     pub timeout: Span,
@@ -116,7 +116,7 @@
 }
 
 /// What the module reads of a deployment, decoded once at start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     pub groups: Vec<CommandGroup>,
     pub guards: Guards,
--- a/crates/comethitchd/src/main.rs
+++ b/crates/comethitchd/src/main.rs
@@ -23,7 +23,7 @@
     Version(Version),
 }
 
-/// Serve clients until SIGTERM.
+/// Serve clients until SIGTERM; SIGHUP reads the configuration again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -49,8 +49,8 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn load(configuration: Option<PathBuf>) -> Result<Site, String> {
-    let named = configuration.or_else(|| std::env::var_os("RELAY_CONFIG").map(PathBuf::from));
+fn load(configuration: &Option<PathBuf>) -> Result<Site, String> {
+    let named = configuration.clone().or_else(|| std::env::var_os("RELAY_CONFIG").map(PathBuf::from));
     let path = named.ok_or("no configuration: give --configuration, or set RELAY_CONFIG")?;
     Site::load(&path, |name| std::env::var(name).ok())
 }
@@ -60,10 +60,11 @@
         Command::Serve(serve) => {
             let clock = Clock::start();
             logger::start(clock, serve.log);
-            listen::run(load(serve.configuration)?, clock)
+            let path = serve.configuration;
+            listen::run(load(&path)?, clock, move || load(&path))
         }
         Command::Check(check) => {
-            let site = load(check.configuration)?;
+            let site = load(&check.configuration)?;
             let (groups, hosts) = (site.groups.len(), site.known.entries.len());
             println!(
                 "{} would listen on {}: {groups} command groups, {hosts} hosts known",
--- a/crates/comethitchd/src/memory/list.rs
+++ b/crates/comethitchd/src/memory/list.rs
@@ -7,7 +7,8 @@
 
 #[derive(Default)]
 pub struct List {
-    pub seq: u64,
+    /// The version last told by the discovery that is followed; nothing is known of another's.
+    pub since: Option<u64>,
     hosts: BTreeMap<Host, (String, SocketAddr)>,
     /// What hosts last said they were, for the log.
     roles: BTreeMap<Host, Role>,
@@ -16,7 +17,7 @@
 impl List {
     /// Takes in what was told, and returns the hosts that have gone or moved.
     pub fn take(&mut self, listing: &Listing) -> Vec<Host> {
-        self.seq = listing.seq;
+        self.since = Some(listing.seq);
         let named = |host: &Host| listing.entries.iter().any(|entry| entry.host == *host);
         let mut left: Vec<Host> = match listing.whole {
             true => self.hosts.keys().copied().filter(|host| !named(host)).collect(),
--- a/crates/comethitchd/src/service/configuration.rs
+++ b/crates/comethitchd/src/service/configuration.rs
@@ -38,6 +38,23 @@
         Site::read(&text, variable).map_err(|e| format!("{shown}: {e}"))
     }
 
+    /// What differs in another configuration and can't be changed in a running router.
+    pub fn fixed_keys_changed(&self, other: &Site) -> Vec<&'static str> {
+        let changed = [
+            ("name", self.name != other.name),
+            ("listen", self.listen != other.listen),
+            ("limits.memory_mb", self.memory_mb != other.memory_mb),
+            ("limits.sockets", self.sockets != other.sockets),
+            (
+                "settings.classes",
+                self.groups != other.groups || self.deployment.groups != other.deployment.groups,
+            ),
+            ("settings.dcs", self.zones != other.zones),
+            ("settings", self.deployment != other.deployment || self.host_idle != other.host_idle),
+        ];
+        changed.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
+    }
+
     pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Site, String> {
         let all: Value = serde_json::from_str(text).map_err(|e| format!("this is no JSON: {e}"))?;
         let all = Keys(&all);
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -15,6 +15,7 @@
 use comethitch::time::{Span, Time};
 use comethitch::{Ending, Host, Role, Router};
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Descriptors that are no connections of clients or hosts: standard streams, poller, signals, listener,
@@ -38,6 +39,8 @@
     pub clients: Clients,
     pub for_clients: Descriptors,
     pub for_hosts: Descriptors,
+    /// Whom to ask for the list, and what is raised once that is somebody else.
+    pub discovery: RefCell<(SocketAddr, Flag)>,
     /// The list is held: clients may come.
     pub ready: Flag,
     pub tally: Tally,
@@ -69,6 +72,7 @@
             clients: Clients::default(),
             for_clients: Descriptors::new(for_clients),
             for_hosts: Descriptors::new(connections - for_clients),
+            discovery: RefCell::new((site.discovery, Flag::default())),
             ready: Flag::default(),
             tally: Tally::default(),
             beat: Cell::default(),
@@ -99,6 +103,24 @@
         });
     }
 
+    /// Takes over what a configuration that was read again changes. A faulty one changes nothing.
+    pub fn reload(&self, read: Result<Site, String>) {
+        let site = match read {
+            Ok(site) => site,
+            Err(why) => return log::error!("the configuration stays as it was: {why}"),
+        };
+        for key in self.site.fixed_keys_changed(&site) {
+            log::warn!("{key} has changed, and is taken over only by a new start");
+        }
+        if self.discovery.borrow().0 != site.discovery {
+            log::info!("discovery is {} from now on", site.discovery);
+            self.list.borrow_mut().since = None;
+            self.discovery.replace((site.discovery, Flag::default())).1.raise();
+        } else {
+            log::info!("the configuration was read again: discovery stays {}", site.discovery);
+        }
+    }
+
     /// The present. Gaps between calls show that the router stood still: it wakes at every beat.
     pub fn now(&self) -> Time {
         let now = self.clock.now();
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -1,5 +1,6 @@
 //! Listens from start to stop.
 
+use crate::memory::flag::Flag;
 use crate::service::clock::{Clock, after, duration};
 use crate::service::configuration::Site;
 use crate::service::daemon::Daemon;
@@ -24,17 +25,30 @@
 const SWEEP: Duration = Duration::from_secs(1);
 const SWEEPS_TOLD: u32 = 10;
 
-/// Serves until SIGTERM or SIGINT.
-pub fn run(site: Site, clock: Clock) -> Result<(), String> {
+/// Serves until SIGTERM or SIGINT; at SIGHUP the configuration is read again.
+pub fn run(
+    site: Site, clock: Clock, reread: impl Fn() -> Result<Site, String> + 'static,
+) -> Result<(), String> {
     async_io::block_on(async {
-        let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
-        let stop = async {
-            signals.next().await;
-        };
+        let mut signals =
+            Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
         let address = site.listen;
         let listener =
             Async::<TcpListener>::bind(address).map_err(|e| format!("can't listen on {address}: {e}"))?;
-        serve(Daemon::start(site, clock), listener, stop).await;
+        let daemon = Daemon::start(site, clock);
+        let (held, stop) = (daemon.clone(), Flag::default());
+        let asked = stop.clone();
+        // Listened to up to the end: neither signal may end a router that is stopping.
+        let heard = async move {
+            while let Some(signal) = signals.next().await {
+                match signal {
+                    Ok(Signal::Hup) => held.reload(reread()),
+                    _ => asked.raise(),
+                }
+            }
+        };
+        daemon.tasks.spawn(heard).detach();
+        serve(daemon, listener, stop.raised()).await;
         Ok(())
     })
 }
--- a/crates/comethitchd/src/service/watch.rs
+++ b/crates/comethitchd/src/service/watch.rs
@@ -5,7 +5,7 @@
 use crate::service::daemon::Daemon;
 use crate::wire::discovery;
 use crate::wire::http::{self, Body};
-use async_io::{Async, Timer};
+use async_io::Async;
 use futures_lite::stream::{self, Stream};
 use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
 use std::future::Future;
@@ -17,6 +17,8 @@
 
 /// As long as nothing changes, discovery sends an empty line this often.
 const EMPTY_LINES: Duration = Duration::from_secs(2);
+/// It replies at once: what takes longer to come up, or to begin its answer, is tried anew.
+const AT_ONCE: Duration = Duration::from_millis(750);
 /// The wait before a lost watch is begun anew.
 const AGAIN: Duration = Duration::from_millis(250);
 const LARGEST_READ: usize = 64 * 1024;
@@ -25,29 +27,36 @@
 pub async fn follow(daemon: Rc<Daemon>) {
     let mut told = false;
     loop {
-        let path = match !daemon.list.borrow().is_empty() {
-            true => format!("/api/targets?follow=1&since={}", daemon.list.borrow().seq),
-            false => "/api/targets".into(),
+        let (address, moved) = daemon.discovery.borrow().clone();
+        let held = daemon.list.borrow().since;
+        let path = match held {
+            Some(since) => format!("/api/targets?follow=1&since={since}"),
+            None => "/api/targets".into(),
         };
-        match watch(&daemon, &path).await {
+        let left = async {
+            moved.raised().await;
+            Err("another one is followed now".into())
+        };
+        match watch(&daemon, address, &path).or(left).await {
+            // The whole list is held now, or what a watch tells came to its end.
             Ok(()) => told = false,
             // Said once: an agent that is down for long fills no log.
             Err(why) if !told => {
-                log::warn!(
-                    "discovery: {why}; the list held stays, tried again from {}",
-                    daemon.list.borrow().seq
-                );
+                log::warn!("discovery {address}: {why}; the list held stays, tried again from {held:?}");
                 told = true;
             }
             Err(_) => {}
         }
-        Timer::after(AGAIN).await;
+        // A list that was just told is followed at once.
+        let pause =
+            if held.is_none() && daemon.list.borrow().since.is_some() { Duration::ZERO } else { AGAIN };
+        after(pause, ()).or(moved.raised()).await;
     }
 }
 
 /// One request, and what it tells up to the end of its answer.
-async fn watch(daemon: &Rc<Daemon>, path: &str) -> Result<(), String> {
-    let mut lines = pin!(lines(daemon.site.discovery, path).await?);
+async fn watch(daemon: &Rc<Daemon>, address: SocketAddr, path: &str) -> Result<(), String> {
+    let mut lines = pin!(lines(address, path).await?);
     while let Some(line) = lines.try_next().await? {
         if line.trim_ascii().is_empty() {
             continue;
@@ -72,10 +81,10 @@
 async fn lines(
     address: SocketAddr, path: &str,
 ) -> Result<impl Stream<Item = Result<Vec<u8>, String>>, String> {
-    let stream = soon("no connection comes up", Async::<TcpStream>::connect(address)).await?;
+    let stream = soon("no connection comes up", AT_ONCE, Async::<TcpStream>::connect(address)).await?;
     let _ = stream.get_ref().set_nodelay(true);
     let request = http::request(path, &address.to_string());
-    soon("it takes no request", (&stream).write_all(&request)).await?;
+    soon("it takes no request", AT_ONCE, (&stream).write_all(&request)).await?;
     let answer = Answer { stream, buffer: Buffer::new(LARGEST_READ), body: None, text: Vec::new() };
     Ok(stream::try_unfold(answer, |mut answer| async {
         let line = answer.line().await?;
@@ -106,7 +115,8 @@
                 let rest = std::mem::take(&mut self.text);
                 return Ok(Some(rest).filter(|rest| !rest.is_empty()));
             }
-            let read = soon("it has fallen silent", self.buffer.fill(&self.stream)).await?;
+            let limit = if self.body.is_none() { AT_ONCE } else { EMPTY_LINES * 3 };
+            let read = soon("it has fallen silent", limit, self.buffer.fill(&self.stream)).await?;
             if self.body.is_none()
                 && let Some((status, body, length)) = http::head(self.buffer.unread()).map_err(|e| e.0)?
             {
@@ -129,7 +139,9 @@
     }
 }
 
-/// Nothing of a watch takes longer than some empty lines.
-async fn soon<T>(late: &'static str, step: impl Future<Output = io::Result<T>>) -> Result<T, String> {
-    step.or(after(EMPTY_LINES * 3, Err(io::Error::other(late)))).await.map_err(|e| e.to_string())
+/// Each step of a watch has a limit.
+async fn soon<T>(
+    late: &'static str, limit: Duration, step: impl Future<Output = io::Result<T>>,
+) -> Result<T, String> {
+    step.or(after(limit, Err(io::Error::other(late)))).await.map_err(|e| e.to_string())
 }
--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use std::io::{Read, Write};
-use std::process::{Command, Stdio};
+use std::net::TcpListener;
+use std::process::Command;
 use std::sync::mpsc::channel;
 use support::*;
 
@@ -72,8 +73,7 @@
 
 #[test]
 fn a_write_that_never_ran_is_throttled() {
-    let refused =
-        std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let refused = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
     let router = Router::start(site(&[entry("p", refused, true, "ready")], None, 1024));
     let mut client = Client::connect(router.address);
     assert_eq!(client.ask(&write(1, 600)), Got::Error("53300".into()));
@@ -82,7 +82,7 @@
 
 #[test]
 fn a_host_that_accepts_and_never_greets_has_run_nothing() {
-    let mute = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mute = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = mute.local_addr().expect("an address");
     let router = Router::start(site(&[entry("p", address, true, "ready")], None, 1024));
     assert_eq!(Client::connect(router.address).ask(&write(1, 900)), Got::Error("53300".into()));
@@ -342,37 +342,57 @@
 
 #[test]
 fn the_program_serves_until_sigterm_and_says_what_is_wrong() {
-    let program = env!("CARGO_BIN_EXE_comethitchd");
-    let folder = std::env::temp_dir().join(format!("comethitchd-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let file = folder.join("configuration.json");
     let primary = host(true, |_, _| answer("value"));
-    std::fs::write(&file, site(&[entry("p", primary.address, true, "ready")], None, 1024).to_string())
-        .expect("written");
-    let mut child = Command::new(program)
-        .arg("serve")
-        .env("RELAY_CONFIG", &file)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("started");
-    let mut log = std::io::BufRead::lines(std::io::BufReader::new(child.stderr.take().expect("its log")));
-    let line = log.find_map(|line| line.ok().filter(|line| line.contains(" listens on "))).expect("a line");
-    let address = line.rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
-    let mut client = Client::connect(address);
+    let program = Program::start("sigterm", &site(&[entry("p", primary.address, true, "ready")], None, 1024));
+    let mut client = Client::connect(program.address);
     assert_eq!(client.ask(""), Got::Empty);
     assert_eq!(client.ask(&write(1, 2_000)), Got::Value(b"value".to_vec()));
-    let id = child.id().to_string();
-    assert!(
-        Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().expect("a signal").success()
-    );
-    assert!(child.wait().expect("an end").success(), "it ends by itself, with 0");
-    std::fs::write(&file, "{\"settings\": {}}").expect("written");
+    std::fs::write(&program.file, "{\"settings\": {}}").expect("written");
     for command in ["serve", "check"] {
-        let out =
-            Command::new(program).args([command, "--configuration"]).arg(&file).output().expect("an end");
+        let out = Command::new(env!("CARGO_BIN_EXE_comethitchd"))
+            .args([command, "--configuration"])
+            .arg(&program.file)
+            .output()
+            .expect("an end");
         let told = String::from_utf8_lossy(&out.stderr);
         assert!(!out.status.success() && told.lines().count() == 1, "{told}");
         assert!(told.contains("settings.domain.class_read is missing"), "{told}");
     }
-    std::fs::remove_dir_all(&folder).expect("removed");
+    program.signal("TERM");
+    program.ends();
+}
+
+#[test]
+fn sighup_changes_to_another_discovery_and_a_faulty_file_changes_nothing() {
+    let (first, second) = (host(true, |_, _| answer("first")), host(true, |_, _| answer("second")));
+    let old = discovery();
+    let at = |address| entry("p", address, true, "ready");
+    let mut all = site(&[at(first.address)], Some(&old), 1024);
+    let mut program = Program::start("sighup", &all);
+    assert_eq!(old.watch().0, "GET /api/targets?follow=1&since=7 HTTP/1.1");
+    let mut client = Client::connect(program.address);
+    for faulty in [&all.to_string()[..200], "{\"settings\": {}}"] {
+        std::fs::write(&program.file, faulty).expect("written");
+        program.signal("HUP");
+        program.logs("the configuration stays as it was");
+        assert_eq!(client.ask(&write(1, 2_000)), Got::Value(b"first".to_vec()));
+    }
+    // The new one is silent at the first try; its versions are its own, and lower.
+    let new = TcpListener::bind("127.0.0.1:0").expect("a port");
+    all["discovery"] = new.local_addr().expect("an address").to_string().into();
+    all["limits"]["sockets"] = 512.into();
+    std::fs::write(&program.file, all.to_string()).expect("written");
+    program.signal("HUP");
+    program.logs("limits.sockets has changed");
+    let _silent = new.accept().expect("a first try");
+    let (mut stream, _) = new.accept().expect("a second try");
+    assert_eq!(request(&stream), "GET /api/targets HTTP/1.1", "all of it, whatever the old one had told");
+    assert_eq!(client.ask(&write(2, 2_000)), Got::Value(b"first".to_vec()), "served on the list held");
+    let list = format!("{{\"seq\":2,\"whole\":true,\"hosts\":[{}]}}\n", at(second.address));
+    write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).expect("sent");
+    assert_eq!(request(&new.accept().expect("a watch").0), "GET /api/targets?follow=1&since=2 HTTP/1.1");
+    assert_eq!(client.ask(&write(3, 2_000)), Got::Value(b"second".to_vec()));
+    program.signal("TERM");
+    program.signal("HUP");
+    program.ends();
 }
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -149,6 +149,56 @@
     let _ = tell.send(Met::Ended);
 }
 
+/// The program itself, serving by a configuration file of its own, and its log line by line.
+pub struct Program {
+    pub child: std::process::Child,
+    pub file: std::path::PathBuf,
+    pub log: Box<dyn Iterator<Item = String>>,
+    pub address: SocketAddr,
+}
+
+impl Program {
+    pub fn start(name: &str, site: &Value) -> Program {
+        let file = std::env::temp_dir().join(format!("comethitchd-{}-{name}.json", std::process::id()));
+        std::fs::write(&file, site.to_string()).expect("written");
+        let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_comethitchd"))
+            .arg("serve")
+            .env("RELAY_CONFIG", &file)
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .expect("started");
+        let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
+        let mut log: Box<dyn Iterator<Item = String>> = Box::new(lines.map_while(Result::ok));
+        let line = log.find(|line| line.contains(" listens on ")).expect("a line");
+        let address = line.rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
+        Program { child, file, log, address }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = std::process::Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
+        assert!(sent.expect("a signal").success());
+    }
+
+    pub fn logs(&mut self, wanted: &str) {
+        self.log.find(|line| line.contains(wanted)).expect(wanted);
+    }
+
+    /// Ends by itself, with 0.
+    pub fn ends(mut self) {
+        assert!(self.child.wait().expect("an end").success());
+        std::fs::remove_file(&self.file).expect("removed");
+    }
+}
+
+/// Reads a request up to its empty line, and tells its first one.
+pub fn request(stream: &TcpStream) -> String {
+    let mut lines = BufReader::new(stream.try_clone().expect("a copy")).lines();
+    let first = lines.next().and_then(Result::ok).unwrap_or_default();
+    while lines.next().and_then(Result::ok).is_some_and(|line| !line.is_empty()) {}
+    first
+}
+
 /// Discovery: each watch's request is told, and lines are sent to the latest watch.
 pub struct Discovery {
     pub address: SocketAddr,
@@ -161,9 +211,7 @@
     let (tell, asked) = channel();
     spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            let mut lines = BufReader::new(stream.try_clone().expect("a copy")).lines();
-            let first = lines.next().and_then(Result::ok).unwrap_or_default();
-            while lines.next().and_then(Result::ok).is_some_and(|line| !line.is_empty()) {}
+            let first = request(&stream);
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             let _ = tell.send((first, stream));
         }
