Close clients that never ask in time, make room by them first, and dismiss the senseless

Logged by a probe: connections that say nothing, half commands, 600 bad commands at once, ids of open commands of others (sent on, 42601 at four hosts each). Ruled out: CPU, memory (the clients' part was cut to what memory could hold at 136 KiB each), hosts (idle).

At fault: take_in.rs more() let a connection that never asked stay for the hosts' idle limit; clients.rs shed() took only served ones; serve() closed with bytes unread, so that the reset could overtake the error; admit.rs took any id and any statement. Now a connection has 2 s for a whole command, and 62 ms once fewer than an eighth of the descriptors are free; room is made first by lost and silent ones, then by those idle for 2 s, last by others; a lost client is told, sending is shut down, and what it sends is dropped up to 2 s; eight bad statements in a row end a connection; an id in hand and a statement that is not of the protocol's two forms get an error. Memory is bounded by the bytes of all buffers together, not by connections. Up to 1024 connections may wait to be accepted.

Tests: serving.rs, clients_that_never_make_sense_are_told_so_in_time, silent_clients_by_the_hundred_keep_none_of_the_usual_ones_out, the_id_of_a_command_in_hand_is_no_other_commands; wire.rs for statements and the buffers' room.

--- a/crates/comethitchd/src/memory/buffer.rs
+++ b/crates/comethitchd/src/memory/buffer.rs
@@ -1,14 +1,40 @@
 //! The one buffer that a connection reads into.
 
 use futures_lite::{AsyncRead, AsyncReadExt};
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 
 /// The least room worth a read, and what an empty buffer keeps.
 const LEAST: usize = 1024;
 const KEPT: usize = 8 * LEAST;
 
-/// It grows as it needs, up to a limit, and is compacted in place.
+/// The bytes that all buffers together may hold, so that memory is bounded however many there are.
+#[derive(Clone)]
+pub struct Room(Rc<Cell<usize>>);
+
+impl Room {
+    pub fn new(bytes: usize) -> Room {
+        Room(Rc::new(Cell::new(bytes)))
+    }
+
+    pub fn left(&self) -> usize {
+        self.0.get()
+    }
+
+    /// Whether a buffer may now hold so much in place of what it held.
+    fn change(&self, held: usize, wanted: usize) -> bool {
+        let enough = self.0.get() + held >= wanted;
+        if enough {
+            self.0.set(self.0.get() + held - wanted);
+        }
+        enough
+    }
+}
+
+/// It grows as it needs, up to a limit and while there is room, and is compacted in place.
 pub struct Buffer {
+    room: Room,
     bytes: Vec<u8>,
     start: usize,
     end: usize,
@@ -16,8 +42,8 @@
 }
 
 impl Buffer {
-    pub fn new(most: usize) -> Buffer {
-        Buffer { bytes: Vec::new(), start: 0, end: 0, most }
+    pub fn new(most: usize, room: &Room) -> Buffer {
+        Buffer { room: room.clone(), bytes: Vec::new(), start: 0, end: 0, most }
     }
 
     pub fn unread(&self) -> &[u8] {
@@ -30,11 +56,16 @@
         if self.start == self.end {
             (self.start, self.end) = (0, 0);
             if self.bytes.len() > KEPT {
-                self.bytes = Vec::new();
+                self.release();
             }
         }
     }
 
+    fn release(&mut self) {
+        self.room.change(self.bytes.len(), 0);
+        self.bytes = Vec::new();
+    }
+
     /// Reads once; 0 bytes are the end of the stream. Dropping the future loses nothing.
     pub async fn fill(&mut self, mut from: impl AsyncRead + Unpin) -> io::Result<usize> {
         if self.bytes.len() - self.end < LEAST && self.start > 0 {
@@ -42,7 +73,11 @@
             (self.start, self.end) = (0, self.end - self.start);
         }
         if self.bytes.len() - self.end < LEAST {
-            self.bytes.resize((self.bytes.len() * 2).clamp(LEAST, self.most.max(LEAST)), 0);
+            let wanted = (self.bytes.len() * 2).clamp(LEAST, self.most.max(LEAST));
+            if !self.room.change(self.bytes.len(), wanted) {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
+            self.bytes.resize(wanted, 0);
         }
         if self.end == self.bytes.len() {
             return Err(io::Error::new(
@@ -55,3 +90,9 @@
         Ok(length)
     }
 }
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
--- a/crates/comethitchd/src/memory/clients.rs
+++ b/crates/comethitchd/src/memory/clients.rs
@@ -1,7 +1,7 @@
 //! Descriptors, and the connections of clients that hold most of them.
 
-use crate::memory::flag::Flag;
-use comethitch::time::Time;
+use crate::memory::flag::{Close, Notice};
+use comethitch::time::{Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -43,48 +43,116 @@
     }
 }
 
-/// A client's connection: since when it is idle, if it is, and what closes it.
-type Open = (Option<Time>, Flag);
+/// What a client's connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It was told an error that ends it, and what it still sends is dropped.
+    Ending,
+    /// Its first command, or the rest of a command that has begun, is waited for.
+    Asking,
+    /// It has been answered, and has begun nothing since.
+    Idle,
+    /// A command of its own is in hand.
+    Busy,
+}
+
+struct Open {
+    stage: Stage,
+    since: Time,
+    notice: Rc<Notice>,
+}
+
+/// For how long a connection may be at a stage.
+pub struct Patience {
+    /// Until a whole command has come, or while what a lost client still sends is dropped. One that is idle
+    /// for as long may be closed.
+    pub rest: Span,
+    /// Until one that is idle is closed in any case.
+    pub idle: Span,
+    /// In place of `rest`, as descriptors run short or the router stops.
+    pub least: Span,
+}
 
 /// The clients' open connections.
-#[derive(Default)]
 pub struct Clients {
+    patience: Patience,
     next: Cell<u32>,
+    stopping: Cell<bool>,
     open: RefCell<BTreeMap<u32, Open>>,
 }
 
 impl Clients {
-    /// Enters a connection; what it returns is raised when the connection should close.
-    pub fn enter(&self) -> (u32, Flag) {
-        let close = Flag::default();
+    pub fn new(patience: Patience) -> Clients {
+        Clients { patience, next: Cell::default(), stopping: Cell::default(), open: RefCell::default() }
+    }
+
+    /// Enters a connection; what it returns tells it when to close.
+    pub fn enter(&self, now: Time) -> (u32, Rc<Notice>) {
+        let notice = Rc::<Notice>::default();
         let number = self.next.get();
         self.next.set(number.wrapping_add(1));
-        self.open.borrow_mut().insert(number, (None, close.clone()));
-        (number, close)
+        let open = Open { stage: Stage::Asking, since: now, notice: notice.clone() };
+        self.open.borrow_mut().insert(number, open);
+        (number, notice)
     }
 
     pub fn leave(&self, number: u32) {
         self.open.borrow_mut().remove(&number);
     }
 
-    pub fn idles(&self, number: u32, since: Option<Time>) {
-        if let Some(client) = self.open.borrow_mut().get_mut(&number) {
-            client.0 = since;
+    /// Notes what a connection is at; the same stage again does not begin anew.
+    pub fn turn(&self, number: u32, stage: Stage, now: Time) {
+        if let Some(open) = self.open.borrow_mut().get_mut(&number).filter(|open| open.stage != stage) {
+            (open.stage, open.since) = (stage, now);
         }
     }
 
-    /// Asks the connection that has been idle longest to close.
-    pub fn shed(&self) {
+    /// Makes room: by a connection that was told an error, or has not asked for a while, or has been idle long.
+    /// Once there is no room left, by one that has hardly had the time to ask; by whichever is idle only if
+    /// no connection is new.
+    pub fn shed(&self, now: Time, full: bool) {
+        let Patience { rest, least, .. } = self.patience;
         let open = self.open.borrow();
-        let idle = open.values().filter(|(since, close)| since.is_some() && !close.is_raised());
-        if let Some((_, close)) = idle.min_by_key(|(since, _)| *since) {
-            close.raise();
+        let waits = |one: &Open| matches!(one.stage, Stage::Asking | Stage::Ending);
+        let in_use = full && !open.values().any(waits);
+        let rank = |one: &Open| {
+            let age = now - one.since;
+            match one.stage {
+                Stage::Ending if age >= least => Some(0),
+                Stage::Asking if age >= least => Some(1),
+                Stage::Idle if age >= rest => Some(2),
+                Stage::Asking if full && age >= least / 8 => Some(3),
+                Stage::Idle if in_use => Some(4),
+                _ => None,
+            }
+        };
+        let ready = open.values().filter(|one| one.notice.asked() != Close::Now);
+        let ranked = ready.filter_map(|one| Some((rank(one)?, one.since, &one.notice)));
+        if let Some((_, _, notice)) = ranked.min_by_key(|(rank, since, _)| (*rank, *since)) {
+            notice.ask(Close::Now);
+        }
+    }
+
+    /// Ends connections that have been at one stage for too long.
+    pub fn sweep(&self, now: Time) {
+        let Patience { rest, idle, least } = self.patience;
+        for one in self.open.borrow().values() {
+            let limit = match one.stage {
+                Stage::Busy => continue,
+                Stage::Idle => idle,
+                _ if self.stopping.get() => least,
+                _ => rest,
+            };
+            if now - one.since >= limit {
+                one.notice.ask(Close::Now);
+            }
         }
     }
 
     /// Asks every connection to close once it has nothing in hand.
     pub fn close_all(&self) {
-        self.open.borrow().values().for_each(|(_, close)| close.raise());
+        self.stopping.set(true);
+        self.open.borrow().values().for_each(|one| one.notice.ask(Close::AtRest));
     }
 
     pub fn len(&self) -> usize {
--- a/crates/comethitchd/src/memory/commands.rs
+++ b/crates/comethitchd/src/memory/commands.rs
@@ -4,13 +4,15 @@
 use async_executor::Task;
 use comethitch::CommandId;
 use comethitch::time::Span;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::rc::Rc;
 
 /// A statement as the client sent it, and where in it stands how long the client waits.
 pub struct Statement {
     pub text: Vec<u8>,
+    /// The id that the client gave it.
+    pub name: String,
     pub wait_at: Range<usize>,
 }
 
@@ -34,17 +36,25 @@
 pub struct Commands {
     last: CommandId,
     open: BTreeMap<CommandId, Command>,
+    /// The ids of commands that are not answered yet.
+    names: BTreeSet<String>,
 }
 
 impl Commands {
     pub fn enter(&mut self, statement: Statement) -> (CommandId, Receiver<Reply>) {
         self.last = self.last.wrapping_add(1);
+        self.names.insert(statement.name.clone());
         let (sender, receiver) = async_channel::bounded(1);
         let command = Command { statement: Rc::new(statement), reply: Some(sender), dispatches: Vec::new() };
         self.open.insert(self.last, command);
         (self.last, receiver)
     }
 
+    /// Whether a command of this id waits for its answer.
+    pub fn is_open(&self, name: &str) -> bool {
+        self.names.contains(name)
+    }
+
     pub fn statement(&self, id: CommandId) -> Option<Rc<Statement>> {
         self.open.get(&id).map(|command| command.statement.clone())
     }
@@ -63,7 +73,7 @@
 
     /// Gives the final answer, once; false if there was one before.
     pub fn answer(&mut self, id: CommandId, reply: Reply) -> bool {
-        let sender = self.open.get_mut(&id).and_then(|command| command.reply.take());
+        let sender = self.close(id);
         let given = sender.is_some_and(|sender| sender.try_send(reply).is_ok());
         self.forget(id);
         given
@@ -71,12 +81,18 @@
 
     /// The client is gone: no answer can be given any more.
     pub fn abandon(&mut self, id: CommandId) {
-        if let Some(command) = self.open.get_mut(&id) {
-            command.reply = None;
-        }
+        self.close(id);
         self.forget(id);
     }
 
+    /// Ends what is owed to a command; its id may come again.
+    fn close(&mut self, id: CommandId) -> Option<Sender<Reply>> {
+        let command = self.open.get_mut(&id)?;
+        let sender = command.reply.take()?;
+        self.names.remove(&command.statement.name);
+        Some(sender)
+    }
+
     pub fn is_over(&self, id: CommandId) -> bool {
         self.open.get(&id).is_none_or(|command| command.reply.is_none())
     }
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -1,6 +1,7 @@
 //! What one running router holds, shared by all its tasks on their one thread.
 
-use crate::memory::clients::{Clients, Descriptors, Permit};
+use crate::memory::buffer::Room;
+use crate::memory::clients::{Clients, Descriptors, Patience, Permit};
 use crate::memory::commands::Commands;
 use crate::memory::flag::Flag;
 use crate::memory::list::List;
@@ -10,7 +11,6 @@
 use crate::service::tally::{Tally, count_kind};
 use crate::stages::route::{self, Acts};
 use crate::wire::discovery::Listing;
-use crate::wire::postgres::LARGEST_MESSAGE;
 use async_executor::LocalExecutor;
 use comethitch::time::{Span, Time};
 use comethitch::{Ending, Host, Role, Router};
@@ -25,8 +25,17 @@
 const CLIENTS_PART: (usize, usize) = (5, 8);
 /// Commands may be in hand on this part of the clients' connections.
 const BUSY_PART: (usize, usize) = (4, 5);
-/// Memory that is no connection's buffer.
+/// Memory that is no connection's buffer; of the rest buffers get half, as what they hold is copied once.
 const OTHER_MEMORY: u64 = 12 << 20;
+/// A connection with nothing in hand may be closed after this long.
+const AT_REST: Span = Span(2_000_000);
+/// What clients' connections have: to be closed for saying nothing within 3 s, for being idle, and when
+/// descriptors run short.
+const PATIENCE: Patience = Patience { rest: AT_REST, idle: Span(AT_REST.0 * 5), least: Span(AT_REST.0 / 32) };
+/// Bytes of lost clients that are dropped at once.
+const DROPPED: usize = 64 * 1024;
+/// While less than this part of the clients' descriptors is free, room is made ahead of need.
+const FREE_PART: usize = 8;
 
 pub struct Daemon {
     pub site: Site,
@@ -37,6 +46,9 @@
     pub pool: RefCell<Pool>,
     pub list: RefCell<List>,
     pub clients: Clients,
+    pub room: Room,
+    /// Where what lost clients still send is dropped.
+    pub dropped: RefCell<Vec<u8>>,
     pub for_clients: Descriptors,
     pub for_hosts: Descriptors,
     /// Whom to ask for the list, and what is raised once that is somebody else.
@@ -55,8 +67,8 @@
 
 impl Daemon {
     pub fn start(mut site: Site, clock: Clock) -> Rc<Daemon> {
-        let by_memory = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY) / LARGEST_MESSAGE as u64;
-        let connections = (site.sockets - OTHER_DESCRIPTORS).min(by_memory as usize);
+        let room = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY) as usize / 2;
+        let connections = site.sockets - OTHER_DESCRIPTORS;
         let for_clients = connections * CLIENTS_PART.0 / CLIENTS_PART.1;
         let known = std::mem::take(&mut site.known);
         let timeouts = site.deployment.groups.iter().map(|group| group.timeout);
@@ -69,7 +81,9 @@
             commands: RefCell::default(),
             pool: RefCell::new(Pool::new(site.host_idle)),
             list: RefCell::default(),
-            clients: Clients::default(),
+            clients: Clients::new(PATIENCE),
+            room: Room::new(room),
+            dropped: RefCell::new(vec![0; DROPPED]),
             for_clients: Descriptors::new(for_clients),
             for_hosts: Descriptors::new(connections - for_clients),
             discovery: RefCell::new((site.discovery, Flag::default())),
@@ -168,12 +182,13 @@
         self.commands.borrow().len() >= self.for_clients.most() * BUSY_PART.0 / BUSY_PART.1
     }
 
-    /// A descriptor for one more client; if there is none, the one that has been idle longest is asked to go.
+    /// A descriptor for one more client. As they run short, connections that are not in use are asked to go.
     pub fn client_descriptor(&self) -> Option<Permit> {
-        self.for_clients.take().or_else(|| {
-            self.clients.shed();
-            None
-        })
+        let (used, most) = (self.for_clients.used(), self.for_clients.most());
+        if used >= most - most / FREE_PART {
+            self.clients.shed(self.clock.now(), used == most);
+        }
+        self.for_clients.take()
     }
 
     /// A descriptor for one more connection to a host, if need be that of the one idle longest.
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -22,8 +22,10 @@
 const LAST_WORDS: Duration = Duration::from_millis(600);
 /// While no descriptor is free, nothing is accepted for this long.
 const PAUSE: Duration = Duration::from_millis(1);
-const SWEEP: Duration = Duration::from_secs(1);
-const SWEEPS_TOLD: u32 = 10;
+const SWEEP: Duration = Duration::from_millis(250);
+const SWEEPS_TOLD: u32 = 40;
+/// How many connections may wait to be accepted.
+const BACKLOG: i32 = 1024;
 
 /// Serves until SIGTERM or SIGINT; at SIGHUP the configuration is read again.
 pub fn run(
@@ -56,6 +58,10 @@
 /// Serves until `stop` is through, then answers what was taken and what still comes.
 pub async fn serve(daemon: Rc<Daemon>, listener: Async<TcpListener>, stop: impl Future<Output = ()>) {
     let address = listener.get_ref().local_addr().unwrap_or(daemon.site.listen);
+    // The standard library's own is short for clients that come by the hundred.
+    if let Err(why) = rustix::net::listen(listener.get_ref(), BACKLOG) {
+        log::warn!("no more connections may wait than the system's own limit: {why}");
+    }
     log::info!("{} listens on {address}", daemon.site.name);
     daemon.tasks.spawn(watch::follow(daemon.clone())).detach();
     daemon.tasks.spawn(sweep(daemon.clone())).detach();
@@ -114,7 +120,9 @@
 async fn sweep(daemon: Rc<Daemon>) {
     for round in 1.. {
         Timer::after(SWEEP).await;
-        daemon.pool.borrow_mut().sweep(daemon.clock.now());
+        let now = daemon.clock.now();
+        daemon.pool.borrow_mut().sweep(now);
+        daemon.clients.sweep(now);
         if round % SWEEPS_TOLD == 0 {
             daemon.report();
         }
--- a/crates/comethitchd/src/service/watch.rs
+++ b/crates/comethitchd/src/service/watch.rs
@@ -1,6 +1,6 @@
 //! Follows discovery's list.
 
-use crate::memory::buffer::Buffer;
+use crate::memory::buffer::{Buffer, Room};
 use crate::service::clock::after;
 use crate::service::daemon::Daemon;
 use crate::wire::discovery;
@@ -56,7 +56,7 @@
 
 /// One request, and what it tells up to the end of its answer.
 async fn watch(daemon: &Rc<Daemon>, address: SocketAddr, path: &str) -> Result<(), String> {
-    let mut lines = pin!(lines(address, path).await?);
+    let mut lines = pin!(lines(address, path, &daemon.room).await?);
     while let Some(line) = lines.try_next().await? {
         if line.trim_ascii().is_empty() {
             continue;
@@ -79,13 +79,13 @@
 
 /// Asks discovery, and streams the lines of its answer.
 async fn lines(
-    address: SocketAddr, path: &str,
+    address: SocketAddr, path: &str, room: &Room,
 ) -> Result<impl Stream<Item = Result<Vec<u8>, String>>, String> {
     let stream = soon("no connection comes up", AT_ONCE, Async::<TcpStream>::connect(address)).await?;
     let _ = stream.get_ref().set_nodelay(true);
     let request = http::request(path, &address.to_string());
     soon("it takes no request", AT_ONCE, (&stream).write_all(&request)).await?;
-    let answer = Answer { stream, buffer: Buffer::new(LARGEST_READ), body: None, text: Vec::new() };
+    let answer = Answer { stream, buffer: Buffer::new(LARGEST_READ, room), body: None, text: Vec::new() };
     Ok(stream::try_unfold(answer, |mut answer| async {
         let line = answer.line().await?;
         Ok(line.map(|line| (line, answer)))
--- a/crates/comethitchd/src/stages/admit.rs
+++ b/crates/comethitchd/src/stages/admit.rs
@@ -34,6 +34,9 @@
     let group = daemon.site.groups.iter().position(|name| name == comment.group);
     let group =
         group.ok_or_else(|| rejected("22023", format!("unknown command group {:?}", comment.group)))?;
+    if daemon.commands.borrow().is_open(comment.id) {
+        return Err(rejected("42710", format!("a command of the id {} is in hand", comment.id)));
+    }
     if comment.wait_ms > LONGEST_WAIT_MS {
         return Err(rejected("22023", format!("d is more than a day: {}", comment.wait_ms)));
     }
@@ -43,7 +46,7 @@
         session: statement::session(&text),
         after: comment.after_ms.map(|ms| Time(ms.saturating_mul(1_000))),
         expiry: arrived + Span(comment.wait_ms * 1_000),
-        statement: Statement { wait_at: comment.wait_at, text },
+        statement: Statement { name: comment.id.into(), wait_at: comment.wait_at, text },
     })
 }
 
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -187,7 +187,7 @@
         let mut startup = Vec::new();
         postgres::put_startup(&mut startup, "portal", "crm");
         (&stream).write_all(&startup).await.map_err(|_| ConnectionEnd::NeverUp)?;
-        let buffer = Buffer::new(LARGEST_MESSAGE + 1);
+        let buffer = Buffer::new(LARGEST_MESSAGE + 1, &daemon.room);
         let mut connection = HostConnection { stream, buffer, dial, idle_since: daemon.clock.now(), permit };
         let mut greeting = Answer::default();
         let greeted = read(&mut connection, &mut greeting).await;
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -1,9 +1,9 @@
 //! First stage: a client's connection, from its startup message to its end.
 
 use crate::memory::buffer::Buffer;
-use crate::memory::clients::Permit;
+use crate::memory::clients::{Permit, Stage};
 use crate::memory::commands::Reply;
-use crate::memory::flag::Flag;
+use crate::memory::flag::{Close, Notice};
 use crate::service::clock::{after, duration};
 use crate::service::daemon::Daemon;
 use crate::service::tally::count;
@@ -14,27 +14,29 @@
 use comethitch::time::Time;
 use futures_lite::{AsyncWriteExt, FutureExt, future};
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
-/// How often the hosts' own idle limit a client may let its connection lie idle.
-const CLIENT_IDLE: u64 = 10;
-
 /// Once this much of further commands has come in, no more is read before the answer in hand.
 const FURTHER: usize = 8 * 1024;
 
+/// A client that has sent this many statements in a row that are no commands is not listened to any more.
+const MOST_REJECTED: u32 = 8;
+
 struct Client {
     daemon: Rc<Daemon>,
     stream: Async<TcpStream>,
     buffer: Buffer,
     number: u32,
-    closing: Flag,
+    notice: Rc<Notice>,
     /// When the bytes read last came in.
     arrived: Time,
     _permit: Permit,
-    /// A query was answered here, so that the connection may be closed between two.
+    /// A command was answered here, so that the connection may be closed between two.
     served: bool,
+    /// Statements in a row that were no commands.
+    rejected: u32,
     /// A message that is not spoken here was met: all is skipped up to the next Sync.
     skipping: bool,
 }
@@ -59,20 +61,30 @@
     }
 }
 
-pub async fn serve(daemon: Rc<Daemon>, stream: Async<TcpStream>, permit: Permit) {
+/// Serves a client. It is entered at once, whenever its task gets to run: a connection that is unknown yet
+/// holds a descriptor all the same.
+pub fn serve(daemon: Rc<Daemon>, stream: Async<TcpStream>, permit: Permit) -> impl Future<Output = ()> {
     let _ = stream.get_ref().set_nodelay(true);
-    let (number, closing) = daemon.clients.enter();
-    let mut client = Client {
-        daemon: daemon.clone(),
+    let arrived = daemon.now();
+    let (number, notice) = daemon.clients.enter(arrived);
+    let buffer = Buffer::new(LARGEST_MESSAGE + 1, &daemon.room);
+    let client = Client {
+        daemon,
         stream,
-        buffer: Buffer::new(LARGEST_MESSAGE + 1),
+        buffer,
         number,
-        closing,
-        arrived: daemon.now(),
+        notice,
+        arrived,
         _permit: permit,
         served: false,
+        rejected: 0,
         skipping: false,
     };
+    run(client)
+}
+
+async fn run(mut client: Client) {
+    let (daemon, number) = (client.daemon.clone(), client.number);
     let stop = match client.open().await {
         Ok(()) => client.converse().await,
         Err(stop) => stop,
@@ -80,10 +92,11 @@
     match stop {
         Stop::Lost(why) => {
             count(&daemon.tally.rejected);
-            log::debug!("client {number}: {why}");
-            let mut out = Vec::new();
-            postgres::put_error(&mut out, "FATAL", "08P01", why, None);
-            let _ = client.write(&out).await;
+            client.dismiss("08P01", why).await;
+        }
+        Stop::Io(error) if error.kind() == io::ErrorKind::OutOfMemory => {
+            count(&daemon.tally.at_limit);
+            client.dismiss("53300", "no room for this now").await;
         }
         Stop::Io(error) => log::debug!("client {number}: {error}"),
         Stop::Left | Stop::Closing => {}
@@ -119,34 +132,21 @@
         }
     }
 
-    /// Reads more, while nothing of this client is in hand.
+    /// Reads more, while nothing of this client is in hand. How long that may take is looked after by the
+    /// sweep of all clients, so that a command costs no timer here.
     async fn more(&mut self) -> Result<(), Stop> {
-        let empty = self.buffer.unread().is_empty();
-        let between = empty && self.served;
-        if between {
-            self.daemon.clients.idles(self.number, Some(self.daemon.now()));
-        }
-        let (stream, closing) = (&self.stream, &self.closing);
-        let soon = self.daemon.site.deployment.connect_timeout;
-        let limit = duration(match between {
-            true => self.daemon.site.host_idle * CLIENT_IDLE,
-            false => self.daemon.site.host_idle,
-        });
+        let (empty, clients) = (self.buffer.unread().is_empty(), &self.daemon.clients);
+        let at_rest = empty && self.served;
+        clients.turn(self.number, if at_rest { Stage::Idle } else { Stage::Asking }, self.daemon.clock.now());
+        let (stream, notice) = (&self.stream, &self.notice);
         let fill = async { Ok(self.buffer.fill(stream).await?) };
         let close = async {
-            closing.raised().await;
-            // A command that has begun to come in is waited for, and for a moment a first one that has not.
-            match (empty, between) {
-                (true, true) => {}
-                (true, false) => after(duration(soon), ()).await,
-                (false, _) => future::pending::<()>().await,
-            }
+            notice.reaches(if at_rest { Close::AtRest } else { Close::Now }).await;
             Err(Stop::Closing)
         };
-        let read = fill.or(close).or(after(limit, Err(Stop::Closing))).await;
-        self.daemon.clients.idles(self.number, None);
-        match read {
+        match fill.or(close).await {
             Ok(0) => return Err(Stop::Left),
+            Err(Stop::Closing) if !empty => return Err(Stop::Lost("the rest of a message did not come")),
             // Something came at the last moment: it is read at the next turn.
             Err(Stop::Closing) if !self.hang_up() => return Ok(()),
             read => read?,
@@ -155,6 +155,34 @@
         Ok(())
     }
 
+    /// Tells a client why it is not listened to any more. What it still sends is dropped for a while: closed
+    /// with bytes unread, the connection would be reset, and the client might never read its error.
+    async fn dismiss(&mut self, code: &'static str, why: &'static str) {
+        log::debug!("client {}: {why}", self.number);
+        self.daemon.clients.turn(self.number, Stage::Ending, self.daemon.clock.now());
+        let notice = self.notice.clone();
+        let told = async {
+            let mut out = Vec::new();
+            postgres::put_error(&mut out, "FATAL", code, why, None);
+            self.write(&out).await.ok()?;
+            self.stream.get_ref().shutdown(Shutdown::Write).ok()?;
+            self.buffer.consume(self.buffer.unread().len());
+            loop {
+                self.stream.readable().await.ok()?;
+                match self.stream.get_ref().read(&mut self.daemon.dropped.borrow_mut()) {
+                    Ok(length) if length > 0 => {}
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    _ => return None,
+                }
+            }
+        };
+        told.or(async {
+            notice.reaches(Close::Now).await;
+            None::<()>
+        })
+        .await;
+    }
+
     /// Ends the connection unless a command has come in that is not read yet; one that comes later is the
     /// client's to send again, as it sees the end first.
     fn hang_up(&self) -> bool {
@@ -211,9 +239,13 @@
                     relay::put_reply(&mut out, Reply::Throttled(None));
                 }
                 Ok(admitted) => {
+                    self.daemon.clients.turn(self.number, Stage::Busy, self.daemon.clock.now());
                     let (id, reply) = route::take(&self.daemon, admitted);
                     match self.while_here(reply.recv()).await {
-                        Ok(Ok(reply)) => relay::put_reply(&mut out, reply),
+                        Ok(Ok(reply)) => {
+                            relay::put_reply(&mut out, reply);
+                            (self.served, self.rejected) = (true, 0);
+                        }
                         _ => {
                             route::left(&self.daemon, id);
                             return Err(Stop::Left);
@@ -223,14 +255,16 @@
                 Err(rejected) => {
                     count(&self.daemon.tally.rejected);
                     log::debug!("client {}: {}", self.number, rejected.text);
+                    self.rejected += 1;
+                    if self.rejected >= MOST_REJECTED {
+                        return Err(Stop::Lost("too many statements that are no commands"));
+                    }
                     postgres::put_error(&mut out, "ERROR", rejected.code, &rejected.text, None);
                 }
             }
         }
         postgres::put_ready(&mut out);
-        self.write(&out).await?;
-        self.served = true;
-        Ok(())
+        self.write(&out).await
     }
 
     /// Waits for something, and notices if the client goes away before it.
--- a/crates/comethitchd/src/wire/statement.rs
+++ b/crates/comethitchd/src/wire/statement.rs
@@ -2,9 +2,15 @@
 
 use std::ops::Range;
 
+const LONGEST_ID: usize = 64;
+/// The forms of statement that hosts take: `%` is a name, `$` a text, `#` a value in hexadecimal digits.
+const READ: &str = "SELECT % FROM % WHERE % = $";
+const WRITE: &str = "INSERT INTO % ( % , % ) VALUES ( $ , # ) RETURNING %";
+
 /// What the comment says; the statement itself is passed on as it came, but for the value of `d`.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Comment<'a> {
+    pub id: &'a str,
     pub group: &'a str,
     /// For how many milliseconds the client waits, and where that stands in the statement.
     pub wait_ms: u64,
@@ -14,11 +20,12 @@
     pub after_ms: Option<u64>,
 }
 
-/// Reads `/* id=9b1f,c=basket,d=480,cluster=2 */ SELECT …`: the fields in any order, unknown ones let be.
+/// Reads `/* id=9b1f,c=basket,d=480,cluster=2 */ SELECT …`: the fields in any order, unknown ones let be, and
+/// behind them a statement of a form that hosts take.
 ///
 /// ```
 /// use comethitchd::wire::statement::comment;
-/// let text = b"/* d=480,id=9b1f,cluster=2,c=basket,x=1 */ SELECT 1";
+/// let text = b"/* d=480,id=9b1f,cluster=2,c=basket,x=1 */ SELECT data FROM facts WHERE code = 'k'";
 /// let comment = comment(text).unwrap();
 /// assert_eq!((comment.group, comment.shard, &text[comment.wait_at]), ("basket", 2, &b"480"[..]));
 /// ```
@@ -50,15 +57,41 @@
         at += part.len() + 1;
     }
     let missing = |name: &str| format!("{name} is missing from the comment");
-    id.filter(|id| !id.is_empty()).ok_or_else(|| missing("id"))?;
+    let id = id.filter(|id| !id.is_empty()).ok_or_else(|| missing("id"))?;
+    if id.len() > LONGEST_ID || !id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-') {
+        return Err("id is none in the comment".into());
+    }
     let (wait_ms, wait_at) = wait.ok_or_else(|| missing("d"))?;
-    Ok(Comment {
-        group: group.ok_or_else(|| missing("c"))?,
-        wait_ms,
-        wait_at,
-        shard: shard.ok_or_else(|| missing("cluster"))?,
-        after_ms,
-    })
+    let group = group.ok_or_else(|| missing("c"))?;
+    let shard = shard.ok_or_else(|| missing("cluster"))?;
+    let statement = &text[at - 1 + 2..];
+    if !follows(statement, READ) && !follows(statement, WRITE) {
+        return Err("the statement is none that hosts take".into());
+    }
+    Ok(Comment { id, group, wait_ms, wait_at, shard, after_ms })
+}
+
+/// Whether a statement has this form, with any space between its parts.
+fn follows(text: &[u8], form: &str) -> bool {
+    let within = |text: &[u8], allowed: fn(&u8) -> bool| text.iter().take_while(|b| allowed(b)).count();
+    let quoted = |text: &[u8], open: &str, allowed: fn(&u8) -> bool| {
+        let inner = text.strip_prefix(open.as_bytes())?;
+        let length = within(inner, allowed);
+        (inner.get(length) == Some(&b'\'')).then_some(open.len() + length + 1)
+    };
+    let mut rest = text;
+    let fits = form.split(' ').all(|part| {
+        rest = rest.trim_ascii_start();
+        let length = match part {
+            "%" => Some(within(rest, |b| b.is_ascii_alphanumeric() || *b == b'_')),
+            "$" => quoted(rest, "'", |b| !b.is_ascii_control() && !b"'\\".contains(b)),
+            "#" => quoted(rest, "'\\x", u8::is_ascii_hexdigit),
+            word => rest.get(..word.len()).is_some_and(|r| r == word.as_bytes()).then_some(word.len()),
+        };
+        rest = &rest[length.unwrap_or(0)..];
+        length.is_some_and(|length| length > 0)
+    });
+    fits && rest.trim_ascii().is_empty()
 }
 
 /// The session that the first quoted key names, as a number; 0 without one.
--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -205,13 +205,14 @@
     let router = alone(&primary);
     let mut client = Client::connect(router.address);
     let cases = [
-        ("SELECT 1", "42601"),
-        ("/* id=1,c=read,d=x,cluster=0 */ SELECT 1", "42601"),
-        ("/* id=1,c=unheard,d=100,cluster=0 */ SELECT 1", "22023"),
-        ("/* id=1,c=read,d=99999999999,cluster=0 */ SELECT 1", "22023"),
+        ("SELECT 1".to_string(), "42601"),
+        (read(1, 9).replace("d=9", "d=x"), "42601"),
+        (read(1, 9).replace("c=read", "c=unheard"), "22023"),
+        (read(1, 9).replace("d=9", "d=99999999999"), "22023"),
+        (read(1, 9).replace("SELECT data", "SELECT 1, data"), "42601"),
     ];
     for (text, code) in cases {
-        assert_eq!(client.ask(text), Got::Error(code.into()), "{text}");
+        assert_eq!(client.ask(&text), Got::Error(code.into()), "{text}");
     }
     // A message of the extended protocol: one error, and all is skipped up to Sync.
     let extended = [message(b'P', b"\0SELECT 1\0\0\0"), message(b'B', b""), message(b'S', b"")].concat();
@@ -228,6 +229,75 @@
     router.wait();
 }
 
+#[test]
+fn the_id_of_a_command_in_hand_is_no_other_commands() {
+    let (release, held) = channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let primary = host(true, move |_, _| {
+        let _ = held.lock().expect("one command").recv_timeout(LONG);
+        answer("value")
+    });
+    let router = alone(&primary);
+    let (mut first, mut second) = (Client::connect(router.address), Client::connect(router.address));
+    first.0.write_all(&query(&write(1, 5_000))).expect("sent");
+    assert!(matches!(primary.next(), Met::Query(_)));
+    assert_eq!(second.ask(&write(1, 5_000)), Got::Error("42710".into()));
+    release.send(()).expect("it waits");
+    assert_eq!(first.got(), Got::Value(b"value".to_vec()));
+    release.send(()).expect("a host");
+    assert_eq!(second.ask(&write(1, 5_000)), Got::Value(b"value".to_vec()), "free again once answered");
+    router.wait();
+}
+
+#[test]
+fn clients_that_never_make_sense_are_told_so_in_time() {
+    let primary = host(true, |_, _| answer("value"));
+    let router = alone(&primary);
+    let started = std::time::Instant::now();
+    let mut usual = Client::connect(router.address);
+    let silent: Vec<Client> = (0..100).map(|_| Client::raw(router.address)).collect();
+    let mut half = Client::connect(router.address);
+    half.0.write_all(&query(&write(1, 2_000))[..40]).expect("sent");
+    let mut many = Client::connect(router.address);
+    many.0.write_all(&query(&read(1, 9).replace("c=read", "c=unheard")).repeat(600)).expect("sent");
+    assert_eq!(many.got(), Got::Error("22023".into()));
+    assert!((0..10).any(|_| many.got() == Got::Error("08P01".into())), "not listened to for ever");
+    // The error is there to be read although 60 MB are still on their way.
+    let mut large = Client::connect(router.address);
+    large.0.write_all(&[&[b'Q'][..], &60_000_000_u32.to_be_bytes()].concat()).expect("sent");
+    let sent = (0..60).take_while(|_| large.0.write_all(&[b'x'; 1_000_000]).is_ok()).count();
+    assert_eq!((sent, large.got()), (60, Got::Error("08P01".into())));
+    assert_eq!(half.got(), Got::Error("08P01".into()));
+    for mut client in silent {
+        assert_eq!(client.0.read(&mut [0]).unwrap_or(0), 0, "closed");
+    }
+    assert!(started.elapsed() < std::time::Duration::from_secs(3), "{:?}", started.elapsed());
+    assert!(!primary.met.try_iter().any(|met| matches!(met, Met::Query(_))), "none of it reached a host");
+    assert_eq!(usual.ask(&write(2, 2_000)), Got::Closed, "one that has never asked is one of them");
+    assert_eq!(Client::connect(router.address).ask(&write(2, 2_000)), Got::Value(b"value".to_vec()));
+    router.wait();
+}
+
+#[test]
+fn silent_clients_by_the_hundred_keep_none_of_the_usual_ones_out() {
+    let primary = host(true, |_, _| answer("value"));
+    let router = Router::start(site(&[entry("p", primary.address, true, "ready")], None, 64));
+    let mut usual = Client::connect(router.address);
+    assert_eq!(usual.ask(&write(0, 5_000)), Got::Value(b"value".to_vec()));
+    let silent: Vec<Client> = (0..300).map(|_| Client::raw(router.address)).collect();
+    for id in 1..40 {
+        assert_eq!(
+            usual.ask(&write(id, 5_000)),
+            Got::Value(b"value".to_vec()),
+            "the one that is in use stays"
+        );
+        let got = Client::connect(router.address).ask(&write(100 + id, 5_000));
+        assert_eq!(got, Got::Value(b"value".to_vec()), "and others find room");
+    }
+    drop(silent);
+    router.wait();
+}
+
 #[test]
 fn at_the_descriptor_limit_idle_clients_make_room() {
     let primary = host(true, |_, _| answer("value"));
@@ -246,7 +316,7 @@
 
 #[test]
 fn past_the_descriptor_limit_commands_are_throttled_at_once() {
-    let elsewhere = write(1, 60_000).replace("cluster=0", "cluster=1");
+    let elsewhere = |id: u32| query(&write(id, 60_000).replace("cluster=0", "cluster=1"));
     let primary = host(true, |_, _| answer("value"));
     let hosts = [entry("p", primary.address, true, "ready")];
     let mut all = site(&hosts, None, 64);
@@ -255,7 +325,7 @@
     all["settings"]["permissions"]["connect_timeout_us"] = 10_000_000.into();
     let router = Router::start(all);
     let mut held: Vec<Client> = (0..22).map(|_| Client::connect(router.address)).collect();
-    held.iter_mut().for_each(|client| client.0.write_all(&query(&elsewhere)).expect("sent"));
+    (100..).zip(&mut held).for_each(|(id, client)| client.0.write_all(&elsewhere(id)).expect("sent"));
     let mut throttled =
         |id| Client::connect(router.address).ask(&write(id, 5_000)) != Got::Value(b"value".to_vec());
     assert!((0..10_000).any(&mut throttled), "full once all of them are taken in");
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -345,6 +345,6 @@
 
 pub fn write(id: u32, wait_ms: u32) -> String {
     format!(
-        "/* id={id},c=write,d={wait_ms},cluster=0 */ INSERT INTO facts (code, data) VALUES ('k', '\\x9f')"
+        "/* id={id},c=write,d={wait_ms},cluster=0 */ INSERT INTO facts (code, data) VALUES ('k', '\\x9f') RETURNING data"
     )
 }
--- a/crates/comethitchd/tests/wire.rs
+++ b/crates/comethitchd/tests/wire.rs
@@ -5,7 +5,7 @@
 use comethitch::chance::Chance;
 use comethitch::time::Time;
 use comethitch::{Ending, Lifecycle, Role};
-use comethitchd::memory::buffer::Buffer;
+use comethitchd::memory::buffer::{Buffer, Room};
 use comethitchd::memory::connection::ConnectionEnd;
 use comethitchd::service::configuration::Site;
 use comethitchd::wire::http::{self, Body};
@@ -81,13 +81,27 @@
 
 #[test]
 fn comments_are_read_or_say_what_is_wrong() {
-    let good = b"  /* x=1, after=17,cluster=65535,c=order,d=480,id=9b */ INSERT INTO f (code) VALUES ('k')";
+    let good = b"  /* x=1, after=17,cluster=65535,c=order,d=480,id=9b */ INSERT INTO f (code, data) VALUES('k', '\\x9f')RETURNING data";
     let comment = statement::comment(good).expect("a comment");
     assert_eq!((comment.group, comment.shard, comment.after_ms), ("order", 65_535, Some(17)));
     assert_eq!(&good[comment.wait_at], b"480");
     assert_eq!(statement::session(good), statement::session(b"SELECT 'k'"));
     assert_eq!(statement::session(b"SELECT 'k"), 0, "a quote without an end names nothing");
+    let ways = [
+        "select data from facts where code = 'k'",
+        "SELECT 1",
+        "SELECT data FROM facts WHERE code = 'k' OR 'k'",
+        "SELECT data FROM facts WHERE code = 'k",
+        "INSERT INTO f (code, data) VALUES ('k', 'x') RETURNING data",
+        "",
+    ];
+    for way in ways {
+        let text = format!("/* id=1,c=a,d=5,cluster=2 */ {way}");
+        let message = statement::comment(text.as_bytes());
+        assert_eq!(message, Err("the statement is none that hosts take".into()), "{way}");
+    }
     let cases = [
+        ("/* id=1 or so,c=a,d=5,cluster=2 */", "id is none"),
         ("SELECT 1", "does not begin with its comment"),
         ("/* id=1,c=a,d=5,cluster=2", "has no end"),
         ("/* c=a,d=5,cluster=2 */", "id is missing"),
@@ -188,16 +202,22 @@
 
 #[test]
 fn a_buffer_grows_is_compacted_and_has_a_limit() {
-    let mut buffer = Buffer::new(3_000);
+    let room = Room::new(3_500);
+    let (mut buffer, mut other) = (Buffer::new(3_000, &room), Buffer::new(3_000, &room));
     let bytes = [7u8; 5_000];
     let mut from = &bytes[..];
     while buffer.unread().len() < 3_000 {
         block_on(buffer.fill(&mut from)).expect("room");
     }
     assert!(block_on(buffer.fill(&mut from)).is_err(), "no room without a limit");
+    let full = block_on(other.fill(&mut from)).expect_err("no room for a second one");
+    assert_eq!(full.kind(), std::io::ErrorKind::OutOfMemory);
     buffer.consume(2_999);
     assert!(block_on(buffer.fill(&mut from)).expect("room again") > 1_000, "compacted in place");
     assert!(buffer.unread().iter().all(|b| *b == 7));
+    drop(buffer);
+    assert_eq!(room.left(), 3_500, "given back");
+    assert!(block_on(other.fill(&mut from)).is_ok(), "room again");
 }
 
 #[test]
