Check every length of a host's answer, and tell nonsense by its first bytes

At fault: wire/postgres.rs Answer::take() took a DataRow of any inner length and a RowDescription, tag, parameter or error of any form, and send.rs read() waited for the whole of a message that could no longer become one. Ruled out: surplus behind a good answer, as no connection with anything to read is kept.

Now a host's message is judged by its type, by the lengths its type can have, and a row by its one column, as soon as the bytes that tell are there; names, tags, parameters and errors must end where they say.

--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -152,7 +152,7 @@
 async fn read(connection: &mut HostConnection, answer: &mut Answer) -> Result<(), ConnectionEnd> {
     loop {
         while let Some(message) =
-            postgres::message(connection.buffer.unread()).map_err(|_| ConnectionEnd::Malformed)?
+            postgres::host_message(connection.buffer.unread()).map_err(|_| ConnectionEnd::Malformed)?
         {
             answer.take(&message).map_err(|_| ConnectionEnd::Malformed)?;
             let length = message.raw.len();
--- a/crates/comethitchd/src/wire/postgres.rs
+++ b/crates/comethitchd/src/wire/postgres.rs
@@ -179,9 +179,60 @@
     Ready,
 }
 
+/// The most that a host's message of each kind may hold besides a value: names, tags, parameters, errors.
+const LARGEST_TEXT: usize = 8 * 1024;
+
+/// Whether a host's message can still become one that is spoken, as far as it has come in. What can't is told
+/// by its first bytes: the rest might be long in coming, or never come.
+fn may_become(bytes: &[u8]) -> Result<(), Malformed> {
+    let Some(kind) = bytes.first() else { return Ok(()) };
+    let body = match kind {
+        b'R' => 4..=4,
+        b'K' => 8..=8,
+        b'Z' => 1..=1,
+        b'I' => 0..=0,
+        b'T' => 2 + 1 + 18..=LARGEST_TEXT,
+        b'D' => 6..=LARGEST_MESSAGE,
+        b'S' | b'C' | b'E' | b'N' | b'A' | b'v' => 1..=LARGEST_TEXT,
+        _ => return Err(Malformed("a message of unknown type")),
+    };
+    let Some(length) = u32_at(bytes, 1) else { return Ok(()) };
+    let length = length as usize;
+    if !(4..=LARGEST_MESSAGE).contains(&length) || !body.contains(&(length - 4)) {
+        return Err(Malformed("a message has an impossible length"));
+    }
+    if *kind == b'D' {
+        // A row of one column, which fills it.
+        let columns = bytes.get(5..7).is_none_or(|columns| columns == [0, 1]);
+        if !columns || u32_at(bytes, 7).is_some_and(|column| column as usize != length - 10) {
+            return Err(Malformed("a row that does not hold one value"));
+        }
+    }
+    Ok(())
+}
+
+/// A host's next message; nothing if it is not whole yet and can still become one.
+pub fn host_message(bytes: &[u8]) -> Result<Option<Message<'_>>, Malformed> {
+    may_become(bytes)?;
+    message(bytes)
+}
+
+/// Texts that each end in a zero byte, with nothing behind the last one.
+fn texts(body: &[u8]) -> Option<impl Iterator<Item = &[u8]>> {
+    body.strip_suffix(b"\0").map(|body| body.split(|b| *b == 0))
+}
+
+/// A row's description: one column, its name and what is told of its type.
+fn describes_one(body: &[u8]) -> bool {
+    let name = body.strip_prefix(&[0, 1]).and_then(|rest| rest.len().checked_sub(19).map(|end| (rest, end)));
+    name.is_some_and(|(rest, end)| rest[end] == 0 && !rest[..end].contains(&0))
+}
+
 impl Answer {
-    /// Takes in the host's next message; the framing held, but what it means must follow what came before.
+    /// Takes in the host's next message; what it means must follow what came before.
     pub fn take(&mut self, message: &Message<'_>) -> Result<(), Malformed> {
+        let one_text =
+            || texts(message.body).is_some_and(|mut all| all.next().is_some() && all.next().is_none());
         let next = match (message.kind, &self.stage) {
             (b'N' | b'A' | b'K' | b'v', _) => return Ok(()),
             (b'S', _) => return self.told(message.body),
@@ -193,9 +244,10 @@
                 return Ok(());
             }
             (b'I', Stage::Begun) => Stage::Complete,
-            (b'T', Stage::Begun) => Stage::Described,
+            (b'T', Stage::Begun) if describes_one(message.body) => Stage::Described,
             (b'D', Stage::Described) => Stage::Row,
-            (b'C', Stage::Begun | Stage::Row) => Stage::Complete,
+            (b'C', Stage::Begun | Stage::Row) if one_text() => Stage::Complete,
+            (b'Z', _) if !b"ITE".contains(&message.body[0]) => return Err(Malformed("an unknown state")),
             (b'Z', stage) if *stage == Stage::Complete || self.code.is_some() => Stage::Ready,
             (b'Z', Stage::Begun) => Stage::Ready,
             _ => return Err(Malformed("a message out of its order")),
@@ -214,15 +266,15 @@
     }
 
     fn told(&mut self, body: &[u8]) -> Result<(), Malformed> {
-        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-        let mut parts = body.split(|b| *b == 0);
-        let (Some(name), Some(value)) = (parts.next(), parts.next()) else {
-            return Err(Malformed("a ParameterStatus without a value"));
+        let pair: Option<Vec<&[u8]>> = texts(body).map(|texts| texts.take(3).collect());
+        let Some(&[name, value]) = pair.as_deref() else {
+            return Err(Malformed("a ParameterStatus that is no name and value"));
         };
+        let value = Some(String::from_utf8_lossy(value).into_owned());
         match name {
-            b"rank" => self.rank = Some(text(value)),
-            b"as_of" => self.as_of = Some(text(value)),
-            b"vitals" => self.vitals = Some(text(value)),
+            b"rank" => self.rank = value,
+            b"as_of" => self.as_of = value,
+            b"vitals" => self.vitals = value,
             _ => {}
         }
         Ok(())
@@ -246,7 +298,10 @@
     }
 }
 
+/// The code of an error whose fields are well formed.
 fn error_code(body: &[u8]) -> Option<Cow<'_, str>> {
-    let mut fields = body.split(|b| *b == 0).filter_map(|field| field.split_first());
-    fields.find(|(name, _)| **name == b'C').map(|(_, code)| String::from_utf8_lossy(code))
+    let mut fields = texts(body.strip_suffix(b"\0")?)?.filter_map(|field| field.split_first());
+    let code = fields.find(|(name, _)| **name == b'C').map(|(_, code)| code);
+    let known = |code: &&[u8]| code.len() == 5 && code.iter().all(u8::is_ascii_alphanumeric);
+    code.filter(known).map(String::from_utf8_lossy)
 }
