Forget hosts that have long been gone, and bound what is kept of sessions

Seen by reading: policy.rs kept a Node, two histograms in it, and an entry of by_host and of its group for every host ever listed, memory/list.rs an address and a role, and commits an entry for every session, for ever.

Now a host that has been gone for ten seconds (a probe's idle limit), is no group's primary nor listed as one, and that no command or probe has to do with is forgotten, its place taken by the next new host. It is kept that long as a host can drop out of a list and come back (scenario further-slow). Sessions: the oldest half goes past 4096, and an unknown session must see whatever was forgotten. The daemon's list keeps the last 32 hosts that have gone, and no idle connection to them.

Tests: scenario long-replaced (2002 places held without the change, 16 at most with it), commits.rs' doc test, wire.rs a_list_whose_hosts_are_replaced_without_end_stays_small.

--- a/crates/comethitch-adapter/src/session.rs
+++ b/crates/comethitch-adapter/src/session.rs
@@ -96,12 +96,12 @@
             scope => return Err(format!("unknown list scope {scope}")),
         },
         20 => {
-            let reported = router.deployment().reported(&report(record, 15)?);
+            let reported = router.deployment.reported(&report(record, 15)?);
             router.probed(record.host(7)?, ending(record.u16(13)?)?, reported, out);
         }
         22 => {
             let group = usize::from(record.u16(7)?);
-            if group >= router.deployment().groups.len() {
+            if group >= router.deployment.groups.len() {
                 return Err(format!("unknown command group {group}"));
             }
             // Rounded down: a commit that looks later than it was asks for more, never for less.
@@ -121,7 +121,7 @@
         23 => router.woken(out),
         26 => {
             let (noted, reported) = {
-                let deployment = router.deployment();
+                let deployment = &router.deployment;
                 (deployment.noted(record.u32(22)?), deployment.reported(&report(record, 26)?))
             };
             let ending = ending(record.u16(20)?)?;
--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -5,6 +5,7 @@
 //! call comes with an outlet that tells the time, so any protocol can be put before the same decisions.
 
 pub mod chance;
+pub mod commits;
 pub mod histogram;
 pub mod policy;
 pub mod time;
@@ -217,6 +218,13 @@
     }
 }
 
+impl Router {
+    /// How many places for hosts are held: those of hosts that are gone are taken by the next.
+    pub fn places(&self) -> usize {
+        self.nodes.len()
+    }
+}
+
 struct Lines<'a>(BTreeMap<&'a str, &'a str>);
 
 impl Lines<'_> {
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -4,8 +4,11 @@
 //! commands with [`Router::take`]. What happens to one later is a call on the [`Handle`] that this returns.
 //! The interface stands in `lib.rs`, the mechanism in `docs/design.md`; "Beyond the design" marks departures.
 
+#![allow(clippy::too_many_arguments)]
+
 use crate::{CommandGroup, CommandId, Deployment, Effect, Ending, Guards, Host, Lifecycle, Need, Outlet};
-use crate::{Reach, Role, Shard, Standing, chance::Chance, histogram::Histogram, time::Span, time::Time};
+use crate::{Reach, Role, Shard, Standing, chance::Chance, commits::Commits, histogram::Histogram};
+use crate::{time::Span, time::Time};
 use std::collections::BTreeMap;
 
 // The design page's own figures.
@@ -99,7 +102,7 @@
 
 /// A database host as this router sees it.
 #[derive(Default)]
-struct Node {
+pub(crate) struct Node {
     host: Host,
     zone: u8,
     shard: Shard,
@@ -130,7 +133,8 @@
     /// Work sent lately: it leaks away over the span in which a cold host is judged.
     sent: f64,
     sent_at: Time,
-    seen: bool,
+    /// Told as gone, or missing from a whole list.
+    gone: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -179,12 +183,13 @@
 pub struct Handle(CommandId);
 
 pub struct Router {
-    deployment: Deployment,
+    pub deployment: Deployment,
     chance: Chance,
     salt: u64,
     beat: Span,
     groups: BTreeMap<Shard, Group>,
-    nodes: Vec<Node>,
+    pub(crate) nodes: Vec<Node>,
+    free: Vec<usize>,
     by_host: BTreeMap<Host, usize>,
     commands: BTreeMap<CommandId, Command>,
     /// Commands that wait for room: first dispatches, and behind them further ones.
@@ -197,11 +202,10 @@
     /// How old a primary's report of its position is: pure age, since a primary stands at the present.
     report_age: Histogram,
     /// The latest commit that each session was told of, where this router has to remember.
-    commits: BTreeMap<u64, Time>,
+    commits: Commits,
     /// The shortest response target, and the tightest bound on the age of data.
     target: Span,
     tightest: Span,
-    whole_list: bool,
 }
 
 impl Router {
@@ -228,29 +232,23 @@
             errors: 0.0,
             took,
             report_age: Histogram::new(deployment.beat, 256),
-            commits: BTreeMap::new(),
+            commits: Commits::default(),
             target,
             tightest,
-            whole_list: false,
+            free: Vec::new(),
             deployment,
         }
     }
 
-    pub fn deployment(&self) -> &Deployment {
-        &self.deployment
-    }
-
     /// The handle of a command that was taken and still has something out or owed.
     pub fn handle(&self, id: CommandId) -> Option<Handle> {
         self.commands.contains_key(&id).then_some(Handle(id))
     }
 
     pub fn list_starts(&mut self, whole: bool) {
-        self.whole_list = whole;
-        self.nodes.iter_mut().for_each(|node| node.seen = false);
+        self.nodes.iter_mut().for_each(|node| node.gone |= whole);
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn listed(
         &mut self, host: Host, zone: u8, shard: Shard, lifecycle: Lifecycle, heads: bool, power: f64,
         started: Option<Time>, out: &mut dyn Outlet,
@@ -259,12 +257,9 @@
         let known = self.by_host.contains_key(&host);
         let i = self.node_of(host, shard, now);
         let node = &mut self.nodes[i];
-        (node.zone, node.power, node.seen) = (zone, power.max(f64::MIN_POSITIVE), true);
-        if lifecycle == Lifecycle::Ready {
-            node.leaving = None;
-        } else if lifecycle == Lifecycle::Draining || !self.deployment.gone_is_advice {
-            node.leaving.get_or_insert(now);
-        }
+        (node.zone, node.power, node.gone) = (zone, power.max(1e-9), lifecycle == Lifecycle::Gone);
+        let drains = (lifecycle == Lifecycle::Draining).then_some(now);
+        node.leaving = node.leaving.filter(|_| lifecycle != Lifecycle::Ready).or(drains);
         // A process that started anew holds no role and none of what was sent to it.
         let restarted = known && started > node.started && node.heard < started.unwrap_or_default();
         node.started = node.started.max(started);
@@ -285,11 +280,9 @@
     }
 
     pub fn list_ends(&mut self, out: &mut dyn Outlet) {
-        if self.whole_list && !self.deployment.gone_is_advice {
-            for node in self.nodes.iter_mut().filter(|node| !node.seen) {
-                node.leaving.get_or_insert(out.now());
-            }
-        }
+        let told = Some(out.now()).filter(|_| !self.deployment.gone_is_advice);
+        self.nodes.iter_mut().filter(|node| node.gone).for_each(|node| node.leaving = node.leaving.or(told));
+        self.forget_gone(out.now());
         self.probe_due(out);
         self.serve_lines(out);
     }
@@ -304,9 +297,10 @@
         if let Some(&i) = self.by_host.get(&host) {
             return i;
         }
-        let i = self.nodes.len();
+        let i = self.free.pop().unwrap_or(self.nodes.len());
         self.by_host.insert(host, i);
-        self.nodes.push(Node {
+        self.nodes.resize_with(self.nodes.len().max(i + 1), Node::default);
+        self.nodes[i] = Node {
             host,
             shard,
             room: Room { limit: self.target * 32 / u64::from(self.deployment.routers), ..Room::default() },
@@ -314,7 +308,7 @@
             probe_next: now,
             pace: Histogram::new(Span(250), 64),
             ..Node::default()
-        });
+        };
         let group = self.groups.entry(shard).or_default();
         group.nodes.push(i);
         let room = Room { limit: Span(u64::MAX), ..Room::default() };
@@ -323,17 +317,31 @@
         i
     }
 
-    #[allow(clippy::too_many_arguments)]
+    /// Forgets hosts that have long been gone, once no command, probe or group has to do with them.
+    fn forget_gone(&mut self, now: Time) {
+        let used: Vec<usize> = self.commands.values().flat_map(|c| &c.dispatches).map(|d| d.node).collect();
+        let long = |n: &Node| n.gone && n.leaving.is_some_and(|told| now - told > PROBE_IDLE);
+        for (i, node) in self.nodes.iter().enumerate().filter(|(_, n)| long(n)) {
+            let group = self.groups.get_mut(&node.shard).expect("known shard");
+            let named = group.primary == Some(i) || group.listed == Some(i) || used.contains(&i);
+            if !named && node.probe_sent.is_none() && self.by_host.get(&node.host) == Some(&i) {
+                self.by_host.remove(&node.host);
+                group.nodes.retain(|other| *other != i);
+                self.free.push(i);
+            }
+        }
+    }
+
     pub fn take(
         &mut self, id: CommandId, group: usize, shard: Shard, session: u64, since_write: Option<Span>,
         expires_in: Span, out: &mut dyn Outlet,
     ) -> Handle {
         let now = out.now();
-        let told = match self.deployment.tokens_carried {
-            true => since_write.map(|since| now - since),
-            false => self.commits.get(&session).copied(),
+        let must_see = match self.deployment.tokens_carried {
+            true => since_write.map_or(Time(0), |since| now - since),
+            false => self.commits.of(session),
         };
-        let (must_see, expiry) = (told.unwrap_or_default(), now + expires_in);
+        let expiry = now + expires_in;
         let command = Command { group, shard, session, must_see, taken: now, expiry, ..Command::default() };
         self.commands.insert(id, command);
         self.further_saved = (self.further_saved + FURTHER_SHARE).min(FURTHER_SAVED);
@@ -408,8 +416,7 @@
         let node = &mut self.nodes[i];
         node.room.load += work;
         self.groups.get_mut(&node.shard).expect("known shard").rooms[group].load += work;
-        node.sent = node.sent_lately(now, self.deployment.fall_span) + heft;
-        node.sent_at = now;
+        (node.sent, node.sent_at) = (node.sent_lately(now, self.deployment.fall_span) + heft, now);
         if node.mute {
             node.shunned = now + TRIED_EVERY;
         }
@@ -595,12 +602,10 @@
         let target = self.deployment.groups[group].target;
         let stretch = if self.long(group) { target.over(self.target) } else { 1.0 };
         let work = self.work(group);
-        if !node.room.holds(work, stretch) || !self.groups[&node.shard].rooms[group].holds(work, 1.0) {
-            return false;
-        }
+        let fits = node.room.holds(work, stretch) && self.groups[&node.shard].rooms[group].holds(work, 1.0);
         let warmth = self.warmth(i, now);
-        if warmth >= 1.0 {
-            return true;
+        if !fits || warmth >= 1.0 {
+            return fits;
         }
         // A cold host gets no more than this router's part of what the ramp surely allows: as much for its
         // power as warm hosts get from here, or what one core of it could do, shared among all routers.
@@ -700,10 +705,9 @@
         let group = self.groups.get_mut(&node.shard).expect("known shard");
         let together = least * group.nodes.len() as u64;
         group.rooms[kind].ended(work, late, 0.0, together.max(work), target / 2, now);
-        let (late, together) = match ending {
-            Ending::Full => (Some(true), 1.0),
-            _ => (late, group.rooms[kind].lateness),
-        };
+        let full = ending == Ending::Full;
+        let (late, together) =
+            (late.or(full.then_some(true)), group.rooms[kind].lateness.max(f64::from(full)));
         node.room.ended(work, late, together, least, target / 2, now);
     }
 
@@ -717,8 +721,7 @@
                 self.report_age.add(now - position);
             }
             let age = self.report_age.quantile(0.5).unwrap_or_default();
-            node.lag = (now - position) - age;
-            node.lag_told = now;
+            (node.lag, node.lag_told) = ((now - position) - age, now);
         }
         let (shard, position) = (node.shard, node.position);
         // A report may be older than an answer: one made before it last led does not unseat a primary.
@@ -955,7 +958,6 @@
 
     /// A dispatch ended. `over` says that the command is finished by this or was before; `noted` is what the
     /// answer says of the host at that moment, `reported` what its last report says.
-    #[allow(clippy::too_many_arguments)]
     pub fn dispatch_ended(
         self, router: &mut Router, nth: u16, ending: Ending, over: bool, noted: Standing, reported: Standing,
         out: &mut dyn Outlet,
@@ -975,8 +977,7 @@
             group.lost += u32::from(dispatch.noted);
         }
         if ending == Ending::Answered && !router.deployment.tokens_carried {
-            let latest = router.commits.entry(session).or_default();
-            *latest = noted.position.unwrap_or_default().max(*latest);
+            router.commits.tell(session, noted.position.unwrap_or_default());
         }
         let need = router.deployment.groups[kind].need;
         if noted.role == Some(Role::Primary) {
--- a/crates/comethitch/tests/scenarios.rs
+++ b/crates/comethitch/tests/scenarios.rs
@@ -8,6 +8,7 @@
 //! probed a,b ok primary -20ms  the end of a probe of each, and what the host says of itself
 //! take 1 bounded for 600ms     a command of a group, with its client timeout (`after 30ms`: since its write)
 //! ended 1.0 reset [over] [role [position]]   the end of a dispatch
+//! places 4                     places for hosts are held, no more: a letter and a number, as b17, is one too
 //! held 1.0 may|not             a dispatch held up on its way may still go now, or may not
 //! left 1                       the client went away
 //! expect dispatch 1 b|c        an act since the last `at`, in this order; a word may list alternatives
@@ -96,7 +97,8 @@
 }
 
 fn host(name: &str) -> Host {
-    Host { address: [10, 0, 0, name.as_bytes()[0]], port: 9000 }
+    let (letter, number) = name.split_at(1);
+    Host { address: [10, 0, 0, letter.as_bytes()[0]], port: 9000 + number.parse().unwrap_or(0) }
 }
 
 fn name(host: Host) -> char {
@@ -239,6 +241,12 @@
                     return Err(format!("may go: {may}"));
                 }
             }
+            ["places", most] => {
+                let held = self.router().0.places();
+                if held > most.parse().expect("a count") {
+                    return Err(format!("{held} places are held"));
+                }
+            }
             ["left", id] => {
                 let (router, acts) = self.router();
                 let handle = router.handle(id.parse().expect("an id")).ok_or("no such command is known")?;
--- a/crates/comethitchd/src/memory/list.rs
+++ b/crates/comethitchd/src/memory/list.rs
@@ -2,7 +2,7 @@
 
 use crate::wire::discovery::Listing;
 use comethitch::{Host, Lifecycle, Role};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 #[derive(Default)]
@@ -12,8 +12,13 @@
     hosts: BTreeMap<Host, (String, SocketAddr)>,
     /// What hosts last said they were, for the log.
     roles: BTreeMap<Host, Role>,
+    /// Hosts that have gone, in that order: kept a while, as what is out to them may still end.
+    gone: VecDeque<Host>,
 }
 
+/// How many hosts are kept that have gone.
+const GONE: usize = 32;
+
 impl List {
     /// Takes in what was told, and returns the hosts that have gone or moved.
     pub fn take(&mut self, listing: &Listing) -> Vec<Host> {
@@ -33,16 +38,34 @@
                 left.push(entry.host);
             }
         }
+        let still_gone =
+            |host: &Host| !listing.entries.iter().any(|e| e.host == *host && e.lifecycle != Lifecycle::Gone);
+        self.gone.retain(|host| still_gone(host) && !left.contains(host));
+        self.gone.extend(left.iter().copied().filter(still_gone));
+        while self.gone.len() > GONE {
+            let oldest = self.gone.pop_front();
+            oldest.map(|host| (self.hosts.remove(&host), self.roles.remove(&host)));
+        }
         left
     }
 
+    /// How many hosts are known of, listed or gone.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Whether a host is listed at this address, and has not gone.
+    pub fn is_at(&self, host: Host, dial: SocketAddr) -> bool {
+        self.dial(host) == Some(dial) && !self.gone.contains(&host)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.hosts.is_empty()
     }
 
     /// Whether a host that says this of itself said otherwise before, or nothing.
     pub fn tells(&mut self, host: Host, role: Role) -> bool {
-        self.roles.insert(host, role) != Some(role)
+        self.hosts.contains_key(&host) && self.roles.insert(host, role) != Some(role)
     }
 
     pub fn dial(&self, host: Host) -> Option<SocketAddr> {
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -142,7 +142,8 @@
     if !told || ended == Err(ConnectionEnd::Malformed) {
         return Err(ended.err().unwrap_or(ConnectionEnd::Malformed));
     }
-    if ended.is_ok() && connection.buffer.unread().is_empty() {
+    let listed = daemon.list.borrow().is_at(host, connection.dial);
+    if ended.is_ok() && listed && connection.buffer.unread().is_empty() {
         daemon.pool.borrow_mut().put(host, connection, daemon.clock.now());
     }
     Ok(answer)
--- a/crates/comethitchd/tests/wire.rs
+++ b/crates/comethitchd/tests/wire.rs
@@ -7,6 +7,7 @@
 use comethitch::{Ending, Lifecycle, Role};
 use comethitchd::memory::buffer::{Buffer, Room};
 use comethitchd::memory::connection::ConnectionEnd;
+use comethitchd::memory::list::List;
 use comethitchd::service::configuration::Site;
 use comethitchd::wire::http::{self, Body};
 use comethitchd::wire::postgres::{self, Answer, LARGEST_MESSAGE, Opening, host_message, message};
@@ -275,6 +276,24 @@
     assert!(discovery::listing(b"{\"seq\":1,", &zones).is_err());
 }
 
+#[test]
+fn a_list_whose_hosts_are_replaced_without_end_stays_small() {
+    let address = "127.0.0.1:5433".parse().expect("an address");
+    let mut list = List::default();
+    for round in 0..3_000 {
+        let (new, old) = (format!("s-{}", round + 1), format!("s-{round}"));
+        let hosts = [entry(&new, address, false, "ready"), entry(&old, address, false, "gone")];
+        // Told of as gone, or missing from a whole list.
+        let whole = round % 2 == 0;
+        let told = json!({"seq": round, "whole": whole, "hosts": hosts[..if whole { 1 } else { 2 }]});
+        list.take(&discovery::listing_of(&told, &[]).expect("a list"));
+        list.tells(discovery::host(&new), Role::Replica);
+        assert!(list.is_at(discovery::host(&new), address) && !list.is_at(discovery::host(&old), address));
+    }
+    assert!(list.len() < 64, "{} hosts are kept", list.len());
+    assert!(!list.tells(discovery::host("s-3"), Role::Primary), "nothing is noted of one that is forgotten");
+}
+
 #[test]
 fn a_faulty_configuration_names_its_key() {
     let without = |path: &str| changed(path, Value::Null);
