--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -107,6 +107,21 @@
     }
 }
 
+#[test]
+fn a_surplus_behind_a_good_answer_is_nobodys() {
+    for surplus in [row(b"theirs"), vec![0x7f; 40], row(b"theirs")[..9].to_vec()] {
+        let primary = host(true, move |nth, _| match nth {
+            0 => Act::Answer([row(b"value"), ready(), surplus.clone()].concat()),
+            _ => answer("own"),
+        });
+        let router = alone(&primary);
+        let mut client = Client::connect(router.address);
+        assert_eq!(client.ask(&write(1, 2_000)), Got::Value(b"value".to_vec()), "it was good");
+        assert_eq!(client.ask(&write(2, 2_000)), Got::Value(b"own".to_vec()));
+        router.wait();
+    }
+}
+
 #[test]
 fn commands_that_come_too_late_are_throttled_and_blame_no_host() {
     let primary = host(true, |_, _| answer("value"));
