Ask a host that has told no position yet again after a sixteenth of a second

The log: replicas answer as such only 300 ms after the start, at a restarted router at once. Hosts that just started report position zero until their first report (44 to 230 ms), which policy.rs probed() takes for nothing told and asks again after 250 ms; until then no replica is proven fresh and all reads go to the primary. Ruled out: connections (eight opened ahead to each host changed nothing), CPU.

Now one whose position was never told is asked again after a sixteenth of a second, others after a quarter as before.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -214,7 +214,6 @@
         let beat = deployment.beat.max(target / 16);
         let bound = |g: &CommandGroup| if let Need::Bounded(bound) = g.need { Some(bound) } else { None };
         let tightest = deployment.groups.iter().filter_map(bound).min().unwrap_or(PROBE_EVERY);
-        let took = deployment.groups.iter().map(|g| Histogram::new(g.target / 64, 256)).collect();
         if deployment.must_subscribe {
             out.subscribe();
         }
@@ -230,7 +229,7 @@
             lines: Default::default(),
             further_saved: FURTHER_SAVED,
             errors: 0.0,
-            took,
+            took: deployment.groups.iter().map(|g| Histogram::new(g.target / 64, 256)).collect(),
             report_age: Histogram::new(deployment.beat, 256),
             commits: Commits::default(),
             target,
@@ -651,7 +650,8 @@
             node.shows_life(now);
             // It runs but tells nothing: it has just started, is asked by too many, or only its probes fail.
             if told == Standing::default() {
-                node.probe_next = node.probe_next.min(now + PROBE_EVERY / 4);
+                let parts = if node.position == Time(0) { 16 } else { 4 };
+                node.probe_next = node.probe_next.min(now + PROBE_EVERY / parts);
             }
         } else if node.alive < sent {
             node.strike(now, self.deployment.connect_timeout);
