Leave the bound on all messages to message(), and write the statement's start plainly

Read over: may_become() repeated the check on lengths that message() makes of the same bytes right after it, in host_message(); it now judges only what its type allows. The statement begins one behind the comment's end: at + 1. Behaviour is the same.

--- a/crates/comethitchd/src/wire/postgres.rs
+++ b/crates/comethitchd/src/wire/postgres.rs
@@ -198,7 +198,7 @@
     };
     let Some(length) = u32_at(bytes, 1) else { return Ok(()) };
     let length = length as usize;
-    if !(4..=LARGEST_MESSAGE).contains(&length) || !body.contains(&(length - 4)) {
+    if length.checked_sub(4).is_none_or(|length| !body.contains(&length)) {
         return Err(Malformed("a message has an impossible length"));
     }
     if *kind == b'D' {
--- a/crates/comethitchd/src/wire/statement.rs
+++ b/crates/comethitchd/src/wire/statement.rs
@@ -64,7 +64,7 @@
     let (wait_ms, wait_at) = wait.ok_or_else(|| missing("d"))?;
     let group = group.ok_or_else(|| missing("c"))?;
     let shard = shard.ok_or_else(|| missing("cluster"))?;
-    let statement = &text[at - 1 + 2..];
+    let statement = &text[at + 1..];
     if !follows(statement, READ) && !follows(statement, WRITE) {
         return Err("the statement is none that hosts take".into());
     }
