Tell from a statement's text what it may do, in PostgreSQL's dialect and in T-SQL

Need: the router trusts the group that a comment names; installations other than the platform send ordinary SQL.

--- /dev/null
+++ b/crates/comethitch-statement/src/lib.rs
@@ -0,0 +1,49 @@
+//! What a statement may do, told from its text.
+//!
+//! A statement goes through [`lexer`], which gives its *shape* in one pass; the shape's [`Verdict`] is looked up
+//! in a [`cache`] or worked out by [`classify`]: its effect, the tables and functions that it names, and what
+//! makes it dear. [`assign`] turns a verdict into what the decision module is told. Nothing here reads a file, a
+//! socket or a clock, and nothing chooses a host.
+//!
+//! It does not know what stands behind names: a view that calls a writing function, or a trigger, is told in a
+//! [`catalogue`]. What it can't tell for certain is never a read.
+//!
+//! ```
+//! use comethitch_statement::{Catalogue, Classifier, Dialect, Effect, Lexer};
+//! let (mut lexer, catalogue) = (Lexer::new(Dialect::Postgres), Catalogue::default());
+//! let classifier = Classifier::new(Dialect::Postgres, &catalogue);
+//! let mut effect = |text: &str| {
+//!     lexer.read(text.as_bytes());
+//!     classifier.classify(&lexer).effect
+//! };
+//! assert_eq!(effect("SELECT data FROM facts WHERE code = 'k'"), Effect::Read);
+//! assert_eq!(effect("WITH gone AS (DELETE FROM facts RETURNING *) SELECT * FROM gone"), Effect::Write);
+//! assert_eq!(effect("SELECT lower(code) FROM facts"), Effect::Read);
+//! assert_eq!(effect("SELECT tienda.lower(code) FROM facts"), Effect::Write);
+//! ```
+
+pub mod catalogue;
+pub mod classify;
+pub mod lexer;
+pub mod shape;
+mod uses;
+pub mod verdict;
+
+pub use catalogue::Catalogue;
+pub use classify::Classifier;
+pub use lexer::Lexer;
+pub use shape::{Secret, ShapeKey};
+pub use verdict::{Effect, Features, Verdict};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// The language that statements are written in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Dialect {
+    /// PostgreSQL's, with standard_conforming_strings on.
+    Postgres,
+    /// T-SQL, with quoted identifiers on.
+    Tsql,
+}
--- /dev/null
+++ b/crates/comethitch-statement/src/verdict.rs
@@ -0,0 +1,139 @@
+//! What is known of a shape.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// What a statement may do, from the mildest to the one that is trusted least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// It changes nothing: any host with data new enough may take it, and it may run again.
+    Read,
+    /// It changes nothing, but takes locks, which only the primary gives.
+    LockingRead,
+    /// It changes the session, or asks about it.
+    Session,
+    /// Its text does not tell.
+    Unknown,
+    Write,
+}
+
+impl Effect {
+    /// Whether a replica may take it.
+    pub fn on_replica(self) -> bool {
+        self == Effect::Read
+    }
+
+    /// Whether running it a second time does no harm.
+    pub fn may_repeat(self) -> bool {
+        matches!(self, Effect::Read | Effect::LockingRead)
+    }
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Effect::Read => "read",
+            Effect::LockingRead => "locking_read",
+            Effect::Session => "session",
+            Effect::Unknown => "unknown",
+            Effect::Write => "write",
+        }
+    }
+}
+
+/// What makes a statement dear, as far as its text tells; counts stop at 255.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Features {
+    pub tables: u8,
+    pub joins: u8,
+    pub subqueries: u8,
+    pub set_operations: u8,
+    pub functions: u8,
+    pub aggregates: u8,
+    pub windows: u8,
+    /// Tables whose rows are all looked at: no column is compared with a value.
+    pub scans: u8,
+    pub grouped: bool,
+    pub ordered: bool,
+    pub distinct: bool,
+    pub limited: bool,
+    pub recursive: bool,
+}
+
+impl Features {
+    /// The first guess at the cost, in lookups of one row by its key; what is learned from answers replaces it.
+    /// Each feature multiplies: a sort of a join costs more than both apart.
+    ///
+    /// ```
+    /// use comethitch_statement::Features;
+    /// let lookup = Features { tables: 1, ..Features::default() };
+    /// assert_eq!(lookup.guess(), 1.0);
+    /// assert!(Features { scans: 1, ..lookup }.guess() > 3.0);
+    /// ```
+    pub fn guess(&self) -> f64 {
+        let many = |number: u8, factor: f64| factor.powi(i32::from(number.min(8)));
+        let if_so = |is: bool, factor: f64| if is { factor } else { 1.0 };
+        let scans = many(self.scans, if self.limited && !self.ordered && !self.grouped { 2.0 } else { 4.0 });
+        let cost = many(self.joins, 1.5)
+            * many(self.subqueries, 1.5)
+            * many(self.set_operations, 1.5)
+            * many(self.aggregates.min(1), 1.5)
+            * many(self.windows, 1.5)
+            * if_so(self.grouped, 1.5)
+            * if_so(self.ordered, 1.25)
+            * if_so(self.distinct, 1.5)
+            * if_so(self.recursive, 4.0)
+            * scans;
+        cost.min(1e6)
+    }
+}
+
+/// One use of a table, and the columns that it compares with values.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TableUse {
+    pub table: Box<str>,
+    pub keys: Vec<KeyUse>,
+}
+
+/// `column = ?`, `column IN (?)`, or a value inserted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyUse {
+    pub column: Box<str>,
+    /// The numbers of the placeholders, from 0: the value is one of theirs.
+    pub placeholders: Vec<u32>,
+}
+
+/// What a shape's statements may do, touch and cost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    pub effect: Effect,
+    /// Why it is no plain read; empty for one.
+    pub why: Box<str>,
+    pub uses: Vec<TableUse>,
+    /// The functions that it calls, with their schemas as written.
+    pub functions: Vec<Box<str>>,
+    pub features: Features,
+    /// Whether it was parsed whole: without that no table is known for certain.
+    pub parsed: bool,
+}
+
+impl Verdict {
+    /// The names of the tables, each once, in order.
+    pub fn tables(&self) -> Vec<&str> {
+        let mut tables: Vec<&str> = self.uses.iter().map(|a_use| &*a_use.table).collect();
+        tables.sort_unstable();
+        tables.dedup();
+        tables
+    }
+
+    /// The bytes that it holds, its own place included.
+    pub fn bytes(&self) -> usize {
+        let key = |key: &KeyUse| size_of::<KeyUse>() + key.column.len() + key.placeholders.capacity() * 4;
+        let a_use = |a_use: &TableUse| {
+            size_of::<TableUse>() + a_use.table.len() + a_use.keys.iter().map(key).sum::<usize>()
+        };
+        size_of::<Verdict>()
+            + self.why.len()
+            + self.uses.iter().map(a_use).sum::<usize>()
+            + self.functions.iter().map(|name| size_of::<Box<str>>() + name.len()).sum::<usize>()
+    }
+}
