Judge statements by their text in the daemon, and by classify on the command line

Need: a statement that writes must not reach a replica whatever its comment says, and ordinary SQL has no comment.

--- a/crates/comethitch-statement/src/catalogue.rs
+++ b/crates/comethitch-statement/src/catalogue.rs
@@ -62,6 +62,8 @@
     never_in_reads: String,
     leading_write: String,
     leading_session: String,
+    /// Words that begin a statement about a transaction.
+    transaction: String,
 }
 
 /// The lists of one dialect, made ready for look-ups.
@@ -74,6 +76,7 @@
     pub never_in_reads: HashSet<&'static str>,
     pub leading_write: HashSet<&'static str>,
     pub leading_session: HashSet<&'static str>,
+    pub transaction: HashSet<&'static str>,
 }
 
 fn lists(text: &'static str) -> Lists {
@@ -97,6 +100,7 @@
         never_in_reads: set(known.never_in_reads),
         leading_write: set(known.leading_write),
         leading_session: set(known.leading_session),
+        transaction: set(known.transaction),
     }
 }
 
--- a/crates/comethitch-statement/src/classify.rs
+++ b/crates/comethitch-statement/src/classify.rs
@@ -58,23 +58,32 @@
         let mut walk = Walk::new(self.dialect, self.catalogue);
         let Ok(statements) = parsed else {
             // The bare tokens may still tell that it writes.
-            let Verdict { effect, why, .. } = self.cautious(lexer, "it can't be parsed");
+            let Verdict { effect, why, transaction, .. } = self.cautious(lexer, "it can't be parsed");
             walk.raise(effect, &why);
             self.look_through(lexer, &mut walk);
-            return without_parts(walk.effect, &walk.why);
+            return Verdict { transaction, ..without_parts(walk.effect, &walk.why) };
         };
         let _ = statements.visit(&mut walk);
         self.look_through(lexer, &mut walk);
-        let Walk { effect, why, uses, functions, mut features, .. } = walk;
+        let Walk { effect, why, uses, functions, mut features, transaction, .. } = walk;
+        if uses.overflow {
+            let why = "it uses too many tables";
+            return Verdict { transaction, ..without_parts(effect.max(Effect::Unknown), why) };
+        }
         let uses = uses.finish(&mut features);
-        Verdict { effect, why: why.into(), uses, functions, features, parsed: true }
+        Verdict { effect, why: why.into(), uses, functions, features, parsed: true, transaction }
     }
 
     /// What can be said without parsing: never that it is a read.
     pub fn cautious(&self, lexer: &Lexer, why: &str) -> Verdict {
         let lists = catalogue::known(self.dialect);
-        let first = lexer.tokens().iter().map(|token| word(lexer, *token)).find(|word| !word.is_empty());
-        match first {
+        let mut words =
+            lexer.tokens().iter().map(|token| word(lexer, *token)).filter(|word| !word.is_empty());
+        let (first, second) = (words.next(), words.next().unwrap_or_default());
+        let transaction = first.is_some_and(|first| lists.transaction.contains(first))
+            && !(self.dialect == Dialect::Tsql && !second.starts_with("tran") && first == Some("begin"))
+            && !(first == Some("prepare") && second != "transaction");
+        let found = match first {
             Some(first) if lists.leading_write.contains(first) => without_parts(Effect::Write, why),
             // A batch may go on behind its first statement.
             Some(first)
@@ -86,7 +95,8 @@
                 without_parts(Effect::Session, why)
             }
             _ => without_parts(Effect::Unknown, why),
-        }
+        };
+        Verdict { transaction, ..found }
     }
 
     /// Looks through the bare tokens for what the walk can't have seen.
@@ -141,8 +151,8 @@
         }
         let word = word(lexer, tokens[at]);
         let known = end == at && lists.before_brackets.contains(word)
-            || walk.called.iter().any(|called| *called == name)
-            || walk.listed.iter().any(|listed| *listed == name)
+            || walk.called.contains(&name)
+            || walk.listed.contains(&name)
             || self.catalogue.is_type(self.dialect, &name);
         if !known {
             match self.catalogue.function(self.dialect, &name) {
@@ -162,7 +172,7 @@
 }
 
 /// A word's text; empty for any other token.
-fn word<'a>(lexer: &'a Lexer, token: Token) -> &'a str {
+fn word(lexer: &Lexer, token: Token) -> &str {
     let is_word = token.kind == Kind::Word;
     std::str::from_utf8(lexer.bytes(token)).ok().filter(|_| is_word).unwrap_or_default()
 }
@@ -179,6 +189,7 @@
         functions: Vec::new(),
         features: Features::default(),
         parsed: false,
+        transaction: false,
     }
 }
 
@@ -289,6 +300,7 @@
     /// Names that stand before a list of columns, or as a table's function.
     listed: Vec<String>,
     features: Features,
+    transaction: bool,
 }
 
 const AGGREGATES: [&str; 12] = [
@@ -318,6 +330,7 @@
             called: Vec::new(),
             listed: Vec::new(),
             features: Features::default(),
+            transaction: false,
         }
     }
 
@@ -438,15 +451,18 @@
             }
             // EXPLAIN is as its statement, which the walk comes to next: with ANALYZE it runs.
             Statement::Explain { .. } if self.dialect == Dialect::Postgres => {}
+            Statement::StartTransaction { .. }
+            | Statement::Commit { .. }
+            | Statement::Rollback { .. }
+            | Statement::Savepoint { .. }
+            | Statement::ReleaseSavepoint { .. } => {
+                self.transaction = true;
+                self.raise(Effect::Session, "it concerns a transaction");
+            }
             Statement::Set(_)
             | Statement::Reset(_)
             | Statement::Discard { .. }
             | Statement::ShowVariable { .. }
-            | Statement::StartTransaction { .. }
-            | Statement::Commit { .. }
-            | Statement::Rollback { .. }
-            | Statement::Savepoint { .. }
-            | Statement::ReleaseSavepoint { .. }
             | Statement::Prepare { .. }
             | Statement::Deallocate { .. }
             | Statement::LISTEN { .. }
--- a/crates/comethitch-statement/src/lib.rs
+++ b/crates/comethitch-statement/src/lib.rs
@@ -22,16 +22,25 @@
 //! assert_eq!(effect("SELECT tienda.lower(code) FROM facts"), Effect::Write);
 //! ```
 
+pub mod assign;
+pub mod budget;
+pub mod cache;
 pub mod catalogue;
 pub mod classify;
+pub mod cost;
+pub mod desk;
 pub mod lexer;
+pub mod rules;
 pub mod shape;
+pub mod sketch;
 mod uses;
 pub mod verdict;
 
 pub use catalogue::Catalogue;
 pub use classify::Classifier;
+pub use desk::Desk;
 pub use lexer::Lexer;
+pub use rules::Rules;
 pub use shape::{Secret, ShapeKey};
 pub use verdict::{Effect, Features, Verdict};
 
--- a/crates/comethitch-statement/src/verdict.rs
+++ b/crates/comethitch-statement/src/verdict.rs
@@ -114,6 +114,8 @@
     pub features: Features,
     /// Whether it was parsed whole: without that no table is known for certain.
     pub parsed: bool,
+    /// It begins, ends or divides a transaction, and so concerns statements that come after it.
+    pub transaction: bool,
 }
 
 impl Verdict {
--- a/crates/comethitchd/src/main.rs
+++ b/crates/comethitchd/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use argh::FromArgs;
+use comethitchd::service::classify::Classify;
 use comethitchd::service::clock::Clock;
 use comethitchd::service::configuration::Site;
 use comethitchd::service::{listen, logger};
@@ -20,6 +21,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Classify(Classify),
     Version(Version),
 }
 
@@ -30,6 +32,9 @@
     /// the configuration; without it, the file that RELAY_CONFIG names
     #[argh(option)]
     configuration: Option<PathBuf>,
+    /// the rules by which statements are judged by their text; without it, comments alone count
+    #[argh(option)]
+    statements: Option<PathBuf>,
     /// what to log: error, warn, info, debug or trace; info if not given
     #[argh(option, default = "LevelFilter::Info")]
     log: LevelFilter,
@@ -42,6 +47,9 @@
     /// the configuration; without it, the file that RELAY_CONFIG names
     #[argh(option)]
     configuration: Option<PathBuf>,
+    /// the rules by which statements are judged by their text, to be checked too
+    #[argh(option)]
+    statements: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -49,10 +57,14 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn load(configuration: &Option<PathBuf>) -> Result<Site, String> {
+fn load(configuration: &Option<PathBuf>, statements: &Option<PathBuf>) -> Result<Site, String> {
     let named = configuration.clone().or_else(|| std::env::var_os("RELAY_CONFIG").map(PathBuf::from));
     let path = named.ok_or("no configuration: give --configuration, or set RELAY_CONFIG")?;
-    Site::load(&path, |name| std::env::var(name).ok())
+    let site = Site::load(&path, |name| std::env::var(name).ok())?;
+    match statements {
+        Some(path) => site.with_statements(path),
+        None => Ok(site),
+    }
 }
 
 fn carry_out(command: Command) -> Result<(), String> {
@@ -60,18 +72,25 @@
         Command::Serve(serve) => {
             let clock = Clock::start();
             logger::start(clock, serve.log);
-            let path = serve.configuration;
-            listen::run(load(&path)?, clock, move || load(&path))
+            let (path, rules) = (serve.configuration, serve.statements);
+            listen::run(load(&path, &rules)?, clock, move || load(&path, &rules))
         }
         Command::Check(check) => {
-            let site = load(&check.configuration)?;
+            let site = load(&check.configuration, &check.statements)?;
             let (groups, hosts) = (site.groups.len(), site.known.entries.len());
             println!(
                 "{} would listen on {}: {groups} command groups, {hosts} hosts known",
                 site.name, site.listen
             );
+            if let Some(rules) = &site.statements {
+                let (groups, keys) = (rules.groups.len(), rules.keys.len());
+                println!(
+                    "statements would be judged by {groups} rules for command groups and {keys} for keys"
+                );
+            }
             Ok(())
         }
+        Command::Classify(classify) => classify.run(),
         Command::Version(_) => {
             println!("comethitchd {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/comethitchd/src/memory/commands.rs
+++ b/crates/comethitchd/src/memory/commands.rs
@@ -4,16 +4,19 @@
 use async_executor::Task;
 use comethitch::CommandId;
 use comethitch::time::Span;
+use comethitch_statement::desk::Known;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::rc::Rc;
 
-/// A statement as the client sent it, and where in it stands how long the client waits.
+/// A statement as the client sent it, and where in it stands how long the client waits, if it tells.
 pub struct Statement {
     pub text: Vec<u8>,
     /// The id that the client gave it.
     pub name: String,
-    pub wait_at: Range<usize>,
+    pub wait_at: Option<Range<usize>>,
+    /// What is known of its shape, where statements are judged by their text.
+    pub known: Option<Rc<Known>>,
 }
 
 /// The final answer to a command.
@@ -35,6 +38,8 @@
 #[derive(Default)]
 pub struct Commands {
     last: CommandId,
+    /// How many were named here.
+    unnamed: u64,
     open: BTreeMap<CommandId, Command>,
     /// The ids of commands that are not answered yet.
     names: BTreeSet<String>,
@@ -50,6 +55,12 @@
         (self.last, receiver)
     }
 
+    /// A name for a command whose client gave it none: no client can give one like it.
+    pub fn own_name(&mut self) -> String {
+        self.unnamed += 1;
+        format!("~{}", self.unnamed)
+    }
+
     /// Whether a command of this id waits for its answer.
     pub fn is_open(&self, name: &str) -> bool {
         self.names.contains(name)
--- a/crates/comethitchd/src/service/configuration.rs
+++ b/crates/comethitchd/src/service/configuration.rs
@@ -2,9 +2,12 @@
 
 use crate::wire::discovery::{Listing, listing_of};
 use comethitch::Deployment;
-use comethitch::time::Span;
+use comethitch::time::{Span, Time};
+use comethitch_statement::{Desk, Rules, Secret};
 use serde_json::Value;
+use std::collections::hash_map::RandomState;
 use std::fmt::Write;
+use std::hash::{BuildHasher, Hasher};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -24,6 +27,8 @@
     pub zones: Vec<String>,
     /// After this long a host closes an idle connection.
     pub host_idle: Span,
+    /// How statements are judged by their text; none, and comments alone count.
+    pub statements: Option<Rules>,
 }
 
 /// The fewest descriptors, and the least memory, that a router can work with.
@@ -94,8 +99,56 @@
             groups,
             zones,
             host_idle: Span(all.number("settings.permissions.conn_idle_us", 1, Some(30_000_000))?),
+            statements: None,
         })
     }
+
+    /// Adds the operator's rules for statements, checked against this site's command groups and memory.
+    pub fn with_statements(self, path: &Path) -> Result<Site, String> {
+        let shown = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown} can't be read: {e}"))?;
+        self.judging(&text).map_err(|e| format!("{shown}: {e}"))
+    }
+
+    /// The same, with the rules as a text.
+    pub fn judging(mut self, text: &str) -> Result<Site, String> {
+        let rules = read_rules(text)?;
+        self.desk_by(rules.clone(), Time(0))?;
+        if rules.cache.kib as u64 > self.memory_mb << 10 >> 2 {
+            return Err(format!("cache.kib is more than a quarter of {} MB, the limit", self.memory_mb));
+        }
+        self.statements = Some(rules);
+        Ok(self)
+    }
+
+    /// The place where statements are judged, if there are rules for it.
+    pub fn desk(&self, now: Time) -> Result<Option<Desk>, String> {
+        self.statements.clone().map(|rules| self.desk_by(rules, now)).transpose()
+    }
+
+    /// The same by other rules, for the command groups of this site.
+    pub fn desk_by(&self, rules: Rules, now: Time) -> Result<Desk, String> {
+        Desk::new(rules, &self.deployment.groups, &self.groups, secret(), now)
+    }
+}
+
+/// Reads rules for statements; an error names the key.
+pub fn read_rules(text: &str) -> Result<Rules, String> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let rules =
+        serde_path_to_error::deserialize(&mut reader).map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+    reader.end().map_err(|e| format!("behind the rules: {e}"))?;
+    Ok(rules)
+}
+
+/// A secret from the system's own random numbers, drawn anew at each call.
+pub fn secret() -> Secret {
+    let draw = || RandomState::new().build_hasher().finish().to_le_bytes();
+    let mut secret = [0; 16];
+    let (first, second) = secret.split_at_mut(8);
+    first.copy_from_slice(&draw());
+    second.copy_from_slice(&draw());
+    Secret(secret)
 }
 
 /// Checks the ranges of what the module works with.
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -14,6 +14,8 @@
 use async_executor::LocalExecutor;
 use comethitch::time::{Span, Time};
 use comethitch::{Ending, Host, Role, Router};
+use comethitch_statement::Desk;
+use comethitch_statement::desk::Known;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -55,6 +57,8 @@
     pub discovery: RefCell<(SocketAddr, Flag)>,
     /// The list is held: clients may come.
     pub ready: Flag,
+    /// Where statements are judged by their text, if the operator has given rules for that.
+    pub desk: RefCell<Option<Desk>>,
     pub tally: Tally,
     /// The span after which the module last asked to be woken.
     pub beat: Cell<Span>,
@@ -67,7 +71,9 @@
 
 impl Daemon {
     pub fn start(mut site: Site, clock: Clock) -> Rc<Daemon> {
-        let room = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY) as usize / 2;
+        let shapes = site.statements.as_ref().map_or(0, |rules| rules.cache.kib as u64) << 10;
+        let room = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY + shapes) as usize / 2;
+        let desk = site.desk(clock.now()).expect("the rules were checked as they were read");
         let connections = site.sockets - OTHER_DESCRIPTORS;
         let for_clients = connections * CLIENTS_PART.0 / CLIENTS_PART.1;
         let known = std::mem::take(&mut site.known);
@@ -88,6 +94,7 @@
             for_hosts: Descriptors::new(connections - for_clients),
             discovery: RefCell::new((site.discovery, Flag::default())),
             ready: Flag::default(),
+            desk: RefCell::new(desk),
             tally: Tally::default(),
             beat: Cell::default(),
             longest_timeout: timeouts.max().unwrap_or_default(),
@@ -123,6 +130,10 @@
             Ok(site) => site,
             Err(why) => return log::error!("the configuration stays as it was: {why}"),
         };
+        // Whole or not at all: what could fail comes before what changes anything.
+        if let Err(why) = self.reload_rules(&site) {
+            return log::error!("the configuration stays as it was: {why}");
+        }
         for key in self.site.fixed_keys_changed(&site) {
             log::warn!("{key} has changed, and is taken over only by a new start");
         }
@@ -135,6 +146,29 @@
         }
     }
 
+    /// Takes over other rules for statements. They are made for the command groups that this router runs with;
+    /// what was known of shapes is forgotten with the rules that it was found by.
+    fn reload_rules(&self, site: &Site) -> Result<(), String> {
+        let mut desk = self.desk.borrow_mut();
+        if desk.as_ref().map(Desk::rules) == site.statements.as_ref() {
+            return Ok(());
+        }
+        let rules = site.statements.clone();
+        *desk = rules.map(|rules| self.site.desk_by(rules, self.clock.now())).transpose()?;
+        log::info!(
+            "statements are judged by {} rules from now on",
+            if desk.is_some() { "other" } else { "no" }
+        );
+        Ok(())
+    }
+
+    /// A host has answered a statement whose shape is known.
+    pub fn answered_after(&self, known: &Known, took: Span) {
+        if let Some(desk) = &*self.desk.borrow() {
+            desk.learn(known, took);
+        }
+    }
+
     /// The present. Gaps between calls show that the router stood still: it wakes at every beat.
     pub fn now(&self) -> Time {
         let now = self.clock.now();
--- a/crates/comethitchd/src/service/mod.rs
+++ b/crates/comethitchd/src/service/mod.rs
@@ -1,5 +1,6 @@
 //! Start and stop: configuration, log, clock, discovery's watch, and listening until a signal.
 
+pub mod classify;
 pub mod clock;
 pub mod configuration;
 pub mod daemon;
--- a/crates/comethitchd/src/stages/admit.rs
+++ b/crates/comethitchd/src/stages/admit.rs
@@ -2,9 +2,11 @@
 
 use crate::memory::commands::Statement;
 use crate::service::daemon::Daemon;
-use crate::wire::statement;
+use crate::wire::statement::{self, Fields};
 use comethitch::Shard;
 use comethitch::time::{Span, Time};
+use comethitch_statement::Desk;
+use comethitch_statement::desk::{Told, Turned};
 
 /// A command as it is handed to the module.
 pub struct Admitted {
@@ -25,34 +27,120 @@
     pub text: String,
 }
 
+/// Why a statement is not taken.
+#[derive(Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    Rejected(Rejected),
+    /// The work of finding out what it is was more than its client may cause now; trying again is harmless.
+    Throttled,
+}
+
+impl From<Rejected> for NotTaken {
+    fn from(rejected: Rejected) -> NotTaken {
+        NotTaken::Rejected(rejected)
+    }
+}
+
+fn rejected(code: &'static str, text: impl Into<String>) -> Rejected {
+    Rejected { code, text: text.into() }
+}
+
 /// A client's wait is never longer than this, whatever it says: a day.
 const LONGEST_WAIT_MS: u64 = 24 * 60 * 60 * 1000;
 
-pub fn admit(daemon: &Daemon, text: Vec<u8>, arrived: Time) -> Result<Admitted, Rejected> {
-    let rejected = |code, text| Rejected { code, text };
-    let comment = statement::comment(&text).map_err(|text| rejected("42601", text))?;
-    let group = daemon.site.groups.iter().position(|name| name == comment.group);
-    let group =
-        group.ok_or_else(|| rejected("22023", format!("unknown command group {:?}", comment.group)))?;
-    if daemon.commands.borrow().is_open(comment.id) {
-        return Err(rejected("42710", format!("a command of the id {} is in hand", comment.id)));
-    }
-    if comment.wait_ms > LONGEST_WAIT_MS {
-        return Err(rejected("22023", format!("d is more than a day: {}", comment.wait_ms)));
+/// Admits a statement: by its comment alone, or, where an operator's rules are on, by its text besides.
+pub fn admit(daemon: &Daemon, text: Vec<u8>, arrived: Time, client: u64) -> Result<Admitted, NotTaken> {
+    match &mut *daemon.desk.borrow_mut() {
+        None => Ok(by_comment(daemon, text, arrived)?),
+        Some(desk) => by_text(daemon, desk, text, arrived, client),
     }
+}
+
+fn by_comment(daemon: &Daemon, text: Vec<u8>, arrived: Time) -> Result<Admitted, Rejected> {
+    let comment = statement::comment(&text).map_err(|text| rejected("42601", text))?;
+    let group = group_named(daemon, comment.group)?;
+    checked(daemon, comment.id, comment.wait_ms)?;
     Ok(Admitted {
         group,
         shard: comment.shard,
         session: statement::session(&text),
         after: comment.after_ms.map(|ms| Time(ms.saturating_mul(1_000))),
         expiry: arrived + Span(comment.wait_ms * 1_000),
-        statement: Statement { name: comment.id.into(), wait_at: comment.wait_at, text },
+        statement: Statement { name: comment.id.into(), wait_at: Some(comment.wait_at), text, known: None },
     })
 }
 
+/// What the comment leaves out, the rules supply; what it tells must not be less strict than the text.
+fn by_text(
+    daemon: &Daemon, desk: &mut Desk, text: Vec<u8>, arrived: Time, client: u64,
+) -> Result<Admitted, NotTaken> {
+    let fields = match statement::fields(&text) {
+        Ok(fields) => fields,
+        // A statement that begins otherwise has no comment of this kind.
+        Err(_) if !text.trim_ascii_start().starts_with(b"/*") => Fields::default(),
+        Err(why) => return Err(rejected("42601", why).into()),
+    };
+    let whole =
+        fields.id.is_some() && fields.group.is_some() && fields.wait.is_some() && fields.shard.is_some();
+    let wait_ms = match (desk.rules().commentless, &fields.wait) {
+        (_, Some((wait_ms, _))) if whole => *wait_ms,
+        (Some(commentless), wait) => wait.as_ref().map_or(commentless.wait_ms, |(wait_ms, _)| *wait_ms),
+        (None, _) => {
+            let why = "the statement's comment must hold id, c, d and cluster: the rules admit none without";
+            return Err(rejected("42601", why).into());
+        }
+    };
+    let group = fields.group.map(|name| group_named(daemon, name)).transpose()?;
+    let name = fields.id.map_or_else(|| daemon.commands.borrow_mut().own_name(), String::from);
+    checked(daemon, &name, wait_ms)?;
+    let told = Told { group, shard: fields.shard };
+    let passed = desk.admit(&text, told, client, &|| daemon.clock.now()).map_err(|turned| match turned {
+        Turned::Refused(refusal) => NotTaken::Rejected(rejected(refusal.code(), refusal.to_string())),
+        Turned::Throttled => NotTaken::Throttled,
+    })?;
+    Ok(Admitted {
+        group: passed.assigned.group,
+        shard: passed.assigned.shard,
+        session: statement::session(&text),
+        after: fields.after_ms.map(|ms| Time(ms.saturating_mul(1_000))),
+        expiry: arrived + Span(wait_ms * 1_000),
+        statement: Statement {
+            name,
+            wait_at: fields.wait.map(|(_, at)| at),
+            known: Some(passed.known),
+            text,
+        },
+    })
+}
+
+fn group_named(daemon: &Daemon, name: &str) -> Result<usize, Rejected> {
+    let group = daemon.site.groups.iter().position(|known| known == name);
+    group.ok_or_else(|| rejected("22023", format!("unknown command group {name:?}")))
+}
+
+fn checked(daemon: &Daemon, id: &str, wait_ms: u64) -> Result<(), Rejected> {
+    if daemon.commands.borrow().is_open(id) {
+        return Err(rejected("42710", format!("a command of the id {id} is in hand")));
+    }
+    if wait_ms > LONGEST_WAIT_MS {
+        return Err(rejected("22023", format!("d is more than a day: {wait_ms}")));
+    }
+    Ok(())
+}
+
 /// The tag that answers a statement about the session alone, which has no effect here.
-pub fn session_statement(text: &[u8]) -> Option<&'static str> {
+pub fn session_statement(daemon: &Daemon, text: &[u8]) -> Option<&'static str> {
+    // Where any statement may come, one that goes on behind a semicolon is looked at whole.
+    if daemon.desk.borrow().is_some() && several(text) {
+        return None;
+    }
     let word = text.trim_ascii_start().split(|b| !b.is_ascii_alphabetic()).next().unwrap_or_default();
     let tags = ["SET", "RESET", "DISCARD"];
     tags.into_iter().find(|tag| word.eq_ignore_ascii_case(tag.as_bytes()))
 }
+
+/// Whether a semicolon stands before the end.
+fn several(text: &[u8]) -> bool {
+    let text = text.trim_ascii_end();
+    text.strip_suffix(b";").unwrap_or(text).contains(&b';')
+}
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -59,7 +59,11 @@
             let router = held.router.borrow();
             router.handle(id).is_some_and(|handle| handle.may_go(&router, nth, held.clock.now()))
         };
+        let began = held.clock.now();
         let outcome: Outcome = within(&held, host, query, time_out, may_go).await.into();
+        if let Some(known) = statement.known.as_ref().filter(|_| outcome.end == ConnectionEnd::Whole) {
+            held.answered_after(known, held.clock.now() - began);
+        }
         held.met(host, outcome.end.ending(), outcome.noted.role);
         book::ended(&held, id, nth, outcome);
     });
@@ -69,10 +73,14 @@
 
 /// The statement as it came, but for how long the router waits.
 fn query(statement: &Statement, time_out: Span) -> Vec<u8> {
-    let (before, after) =
-        (&statement.text[..statement.wait_at.start], &statement.text[statement.wait_at.end..]);
-    let mut out = Vec::with_capacity(statement.text.len() + 16);
-    postgres::put_query(&mut out, &[before, (time_out.0 / 1_000).to_string().as_bytes(), after]);
+    let (text, mut out) = (&statement.text, Vec::with_capacity(statement.text.len() + 16));
+    match &statement.wait_at {
+        Some(at) => {
+            let wait = (time_out.0 / 1_000).to_string();
+            postgres::put_query(&mut out, &[&text[..at.start], wait.as_bytes(), &text[at.end..]]);
+        }
+        None => postgres::put_query(&mut out, &[text]),
+    }
     out
 }
 
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/stages/take_in.rs
@@ -7,6 +7,7 @@
 use crate::service::clock::{after, duration};
 use crate::service::daemon::Daemon;
 use crate::service::tally::count;
+use crate::stages::admit::NotTaken;
 use crate::stages::{admit, relay, route};
 use crate::wire::Malformed;
 use crate::wire::postgres::{self, LARGEST_MESSAGE, Opening};
@@ -15,7 +16,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt, future};
 use std::future::Future;
 use std::io::{self, Read};
-use std::net::{Shutdown, TcpStream};
+use std::net::{IpAddr, Shutdown, TcpStream};
 use std::rc::Rc;
 
 /// Once this much of further commands has come in, no more is read before the answer in hand.
@@ -29,6 +30,8 @@
     stream: Async<TcpStream>,
     buffer: Buffer,
     number: u32,
+    /// The client's machine, as a number: its connections share what it may cost.
+    origin: u64,
     notice: Rc<Notice>,
     /// When the bytes read last came in.
     arrived: Time,
@@ -68,11 +71,17 @@
     let arrived = daemon.now();
     let (number, notice) = daemon.clients.enter(arrived);
     let buffer = Buffer::new(LARGEST_MESSAGE + 1, &daemon.room);
+    let origin = stream.get_ref().peer_addr().map_or(0, |address| match address.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        // An IPv6 network of 64 bits is one client's.
+        IpAddr::V6(ip) => (ip.to_bits() >> 64) as u64,
+    });
     let client = Client {
         daemon,
         stream,
         buffer,
         number,
+        origin,
         notice,
         arrived,
         _permit: permit,
@@ -229,10 +238,10 @@
             let daemon = self.daemon.clone();
             self.while_here(daemon.ready.raised()).await?;
             postgres::put_empty(&mut out);
-        } else if let Some(tag) = admit::session_statement(&text) {
+        } else if let Some(tag) = admit::session_statement(&self.daemon, &text) {
             postgres::put_complete(&mut out, tag);
         } else {
-            match admit::admit(&self.daemon, text, self.arrived) {
+            match admit::admit(&self.daemon, text, self.arrived, self.origin) {
                 // A hard limit: no decision is asked for.
                 Ok(_) if self.daemon.is_full() => {
                     count(&self.daemon.tally.at_limit);
@@ -252,7 +261,11 @@
                         }
                     }
                 }
-                Err(rejected) => {
+                Err(NotTaken::Throttled) => {
+                    count(&self.daemon.tally.throttled);
+                    relay::put_reply(&mut out, Reply::Throttled(None));
+                }
+                Err(NotTaken::Rejected(rejected)) => {
                     count(&self.daemon.tally.rejected);
                     log::debug!("client {}: {}", self.number, rejected.text);
                     self.rejected += 1;
--- a/crates/comethitchd/src/wire/statement.rs
+++ b/crates/comethitchd/src/wire/statement.rs
@@ -30,45 +30,68 @@
 /// assert_eq!((comment.group, comment.shard, &text[comment.wait_at]), ("basket", 2, &b"480"[..]));
 /// ```
 pub fn comment(text: &[u8]) -> Result<Comment<'_>, String> {
+    let fields = fields(text)?;
+    let missing = |name: &str| format!("{name} is missing from the comment");
+    let id = fields.id.ok_or_else(|| missing("id"))?;
+    let (wait_ms, wait_at) = fields.wait.ok_or_else(|| missing("d"))?;
+    let group = fields.group.ok_or_else(|| missing("c"))?;
+    let shard = fields.shard.ok_or_else(|| missing("cluster"))?;
+    let statement = &text[fields.end..];
+    if !follows(statement, READ) && !follows(statement, WRITE) {
+        return Err("the statement is none that hosts take".into());
+    }
+    Ok(Comment { id, group, wait_ms, wait_at, shard, after_ms: fields.after_ms })
+}
+
+/// What a comment holds of the fields that are known, whatever statement follows.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Fields<'a> {
+    pub id: Option<&'a str>,
+    pub group: Option<&'a str>,
+    pub wait: Option<(u64, Range<usize>)>,
+    pub shard: Option<u16>,
+    pub after_ms: Option<u64>,
+    /// Where the comment ends.
+    pub end: usize,
+}
+
+/// Reads the comment that a statement begins with.
+pub fn fields(text: &[u8]) -> Result<Fields<'_>, String> {
     let start = text.iter().position(|b| !b.is_ascii_whitespace()).unwrap_or(text.len());
     let body = text[start..].strip_prefix(b"/*").ok_or("the statement does not begin with its comment")?;
     let end = body.windows(2).position(|two| two == b"*/").ok_or("the statement's comment has no end")?;
     let body = std::str::from_utf8(&body[..end]).map_err(|_| "the statement's comment is not UTF-8")?;
-    let (mut id, mut group, mut wait, mut shard, mut after_ms) = (None, None, None, None, None);
+    let mut fields = Fields::default();
     let mut at = start + 2;
     for part in body.split(',') {
         let lead = part.len() - part.trim_start().len();
         let (name, value) = part.trim().split_once('=').unwrap_or_default();
         let number = || value.parse::<u64>().map_err(|_| format!("{name} is no number in the comment"));
         match name {
-            "id" => id = Some(value),
-            "c" => group = Some(value),
+            "id" => fields.id = Some(value),
+            "c" => fields.group = Some(value),
             "d" => {
                 let from = at + lead + 2;
-                wait = Some((number()?, from..from + value.len()));
+                fields.wait = Some((number()?, from..from + value.len()));
             }
             "cluster" => {
                 let number = number()?;
-                shard = Some(u16::try_from(number).map_err(|_| "cluster is too large in the comment")?);
+                fields.shard =
+                    Some(u16::try_from(number).map_err(|_| "cluster is too large in the comment")?);
             }
-            "after" => after_ms = Some(number()?),
+            "after" => fields.after_ms = Some(number()?),
             _ => {}
         }
         at += part.len() + 1;
     }
-    let missing = |name: &str| format!("{name} is missing from the comment");
-    let id = id.filter(|id| !id.is_empty()).ok_or_else(|| missing("id"))?;
-    if id.len() > LONGEST_ID || !id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-') {
-        return Err("id is none in the comment".into());
-    }
-    let (wait_ms, wait_at) = wait.ok_or_else(|| missing("d"))?;
-    let group = group.ok_or_else(|| missing("c"))?;
-    let shard = shard.ok_or_else(|| missing("cluster"))?;
-    let statement = &text[at + 1..];
-    if !follows(statement, READ) && !follows(statement, WRITE) {
-        return Err("the statement is none that hosts take".into());
+    fields.end = at + 1;
+    let is_id =
+        |id: &str| id.len() <= LONGEST_ID && id.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-');
+    fields.id = fields.id.filter(|id| !id.is_empty());
+    match fields.id {
+        Some(id) if !is_id(id) => Err("id is none in the comment".into()),
+        _ => Ok(fields),
     }
-    Ok(Comment { id, group, wait_ms, wait_at, shard, after_ms })
 }
 
 /// Whether a statement has this form, with any space between its parts.
