--- a/crates/comethitchd/src/memory/buffer.rs
+++ b/crates/comethitchd/src/memory/buffer.rs
@@ -32,6 +32,30 @@
     }
 }
 
+/// Bytes held outside of a buffer, counted against the same room until this is dropped.
+pub struct Held(Room, usize);
+
+impl Held {
+    pub fn new(room: &Room) -> Held {
+        Held(room.clone(), 0)
+    }
+
+    /// Whether so many bytes may be held from now on.
+    pub fn is(&mut self, bytes: usize) -> bool {
+        let enough = self.0.change(self.1, bytes);
+        if enough {
+            self.1 = bytes;
+        }
+        enough
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.change(self.1, 0);
+    }
+}
+
 /// It grows as it needs, up to a limit and while there is room, and is compacted in place.
 pub struct Buffer {
     room: Room,
--- a/crates/comethitchd/src/memory/commands.rs
+++ b/crates/comethitchd/src/memory/commands.rs
@@ -26,6 +26,8 @@
     Value(Vec<u8>),
     Throttled(Option<Span>),
     Failed,
+    /// Failed, and a host's own error tells why.
+    FailedBy(Vec<u8>),
 }
 
 struct Command {
@@ -33,6 +35,8 @@
     /// Gone once the final answer is given.
     reply: Option<Sender<Reply>>,
     dispatches: Vec<Option<Task<()>>>,
+    /// The error that a host answered the latest dispatch with.
+    error: Option<Vec<u8>>,
 }
 
 #[derive(Default)]
@@ -50,7 +54,8 @@
         self.last = self.last.wrapping_add(1);
         self.names.insert(statement.name.clone());
         let (sender, receiver) = async_channel::bounded(1);
-        let command = Command { statement: Rc::new(statement), reply: Some(sender), dispatches: Vec::new() };
+        let statement = Rc::new(statement);
+        let command = Command { statement, reply: Some(sender), dispatches: Vec::new(), error: None };
         self.open.insert(self.last, command);
         (self.last, receiver)
     }
@@ -79,9 +84,22 @@
     pub fn dispatched(&mut self, id: CommandId, task: Option<Task<()>>) {
         if let Some(command) = self.open.get_mut(&id) {
             command.dispatches.push(task);
+            command.error = None;
         }
     }
 
+    /// A host answered the latest dispatch with an error.
+    pub fn met_error(&mut self, id: CommandId, error: Vec<u8>) {
+        if let Some(command) = self.open.get_mut(&id) {
+            command.error = Some(error);
+        }
+    }
+
+    /// The error of the latest dispatch, if it ended in one.
+    pub fn take_error(&mut self, id: CommandId) -> Option<Vec<u8>> {
+        self.open.get_mut(&id)?.error.take()
+    }
+
     /// Gives the final answer, once; false if there was one before.
     pub fn answer(&mut self, id: CommandId, reply: Reply) -> bool {
         let sender = self.close(id);
--- a/crates/comethitchd/src/memory/connection.rs
+++ b/crates/comethitchd/src/memory/connection.rs
@@ -40,6 +40,8 @@
     Broken,
     /// What the host sent after that could not be understood.
     Malformed,
+    /// The answer is larger than what is passed on, or than there is room for.
+    TooLarge,
     /// Nothing more came until the router stopped waiting.
     Silent,
     /// The router gave the query up.
@@ -58,6 +60,7 @@
             },
             ConnectionEnd::NotTried => Ending::Moot,
             ConnectionEnd::NeverUp | ConnectionEnd::Unsent => Ending::NoConnection,
+            ConnectionEnd::TooLarge => Ending::Error,
             ConnectionEnd::Broken | ConnectionEnd::Malformed => Ending::Reset,
             ConnectionEnd::Silent => Ending::TimedOut,
             ConnectionEnd::GivenUp => Ending::Cancelled,
--- a/crates/comethitchd/src/stages/book.rs
+++ b/crates/comethitchd/src/stages/book.rs
@@ -6,7 +6,7 @@
 use crate::service::tally::count_kind;
 use crate::stages::send::Outcome;
 use crate::stages::{relay, route};
-use comethitch::CommandId;
+use comethitch::{CommandId, Ending};
 use std::rc::Rc;
 
 pub fn ended(daemon: &Rc<Daemon>, id: CommandId, nth: u16, outcome: Outcome) {
@@ -16,6 +16,8 @@
     // The first whole value goes to the client on its own.
     if end == ConnectionEnd::Whole {
         relay::answer(daemon, id, Reply::Value(value));
+    } else if ending == Ending::Error && !value.is_empty() {
+        daemon.commands.borrow_mut().met_error(id, value);
     }
     let over = {
         let mut commands = daemon.commands.borrow_mut();
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/stages/send.rs
@@ -1,13 +1,13 @@
 //! Fourth stage: one dispatch, or one probe, on a connection to a host.
 
-use crate::memory::buffer::Buffer;
+use crate::memory::buffer::{Buffer, Held};
 use crate::memory::commands::Statement;
 use crate::memory::connection::{ConnectionEnd, HostConnection};
 use crate::service::clock::{after, duration};
 use crate::service::daemon::Daemon;
 use crate::service::tally::count;
 use crate::stages::{book, route};
-use crate::wire::postgres::{self, Answer, LARGEST_MESSAGE};
+use crate::wire::postgres::{self, Answer, Form, LARGEST_MESSAGE};
 use crate::wire::standing;
 use async_io::{Async, Timer};
 use comethitch::time::Span;
@@ -23,6 +23,7 @@
     pub end: ConnectionEnd,
     pub noted: Standing,
     pub reported: Standing,
+    /// The value, or the error where any answer may come.
     pub value: Vec<u8>,
 }
 
@@ -33,7 +34,7 @@
                 noted: standing::noted(&answer),
                 reported: answer.vitals.as_deref().map(standing::reported).unwrap_or_default(),
                 end: answer.code.map_or(ConnectionEnd::Whole, ConnectionEnd::Code),
-                value: answer.value,
+                value: if answer.error.is_empty() { answer.value } else { answer.error },
             },
             Err(end) => {
                 Outcome { end, noted: Standing::default(), reported: Standing::default(), value: Vec::new() }
@@ -143,27 +144,41 @@
     };
     written.set(true);
     drop(query);
-    let mut answer = Answer::default();
-    let ended = read(&mut connection, &mut answer).await;
+    let form = if daemon.desk.borrow().is_some() { Form::Any } else { Form::OneValue };
+    let (mut answer, mut held) = (Answer::of(form), Held::new(&daemon.room));
+    let ended =
+        read(&mut connection, &mut answer, |answer| form == Form::OneValue || held.is(answer.value.len()))
+            .await;
+    if ended == Err(ConnectionEnd::TooLarge) {
+        return Err(ConnectionEnd::TooLarge);
+    }
     // A value or a code stands if the connection breaks behind it, but not if nonsense follows.
     let told = answer.whole() || answer.code.is_some();
     if !told || ended == Err(ConnectionEnd::Malformed) {
         return Err(ended.err().unwrap_or(ConnectionEnd::Malformed));
     }
     let listed = daemon.list.borrow().is_at(host, connection.dial);
-    if ended.is_ok() && listed && connection.buffer.unread().is_empty() {
+    if ended.is_ok() && listed && !answer.in_transaction && connection.buffer.unread().is_empty() {
         daemon.pool.borrow_mut().put(host, connection, daemon.clock.now());
     }
     Ok(answer)
 }
 
 /// Reads up to the host's word that it is ready.
-async fn read(connection: &mut HostConnection, answer: &mut Answer) -> Result<(), ConnectionEnd> {
+async fn read(
+    connection: &mut HostConnection, answer: &mut Answer, mut has_room: impl FnMut(&Answer) -> bool,
+) -> Result<(), ConnectionEnd> {
     loop {
         while let Some(message) =
-            postgres::host_message(connection.buffer.unread()).map_err(|_| ConnectionEnd::Malformed)?
+            answer.next(connection.buffer.unread()).map_err(|_| ConnectionEnd::Malformed)?
         {
-            answer.take(&message).map_err(|_| ConnectionEnd::Malformed)?;
+            answer.take(&message).map_err(|malformed| match malformed {
+                postgres::TOO_LARGE => ConnectionEnd::TooLarge,
+                _ => ConnectionEnd::Malformed,
+            })?;
+            if !has_room(answer) {
+                return Err(ConnectionEnd::TooLarge);
+            }
             let length = message.raw.len();
             connection.buffer.consume(length);
             if answer.ready() {
@@ -199,7 +214,7 @@
         let buffer = Buffer::new(LARGEST_MESSAGE + 1, &daemon.room);
         let mut connection = HostConnection { stream, buffer, dial, idle_since: daemon.clock.now(), permit };
         let mut greeting = Answer::default();
-        let greeted = read(&mut connection, &mut greeting).await;
+        let greeted = read(&mut connection, &mut greeting, |_| true).await;
         // Of the codes in a greeting, one tells more than that no connection came up.
         let full = greeting.code.map(ConnectionEnd::Code).filter(|end| end.ending() == Ending::Full);
         match full {
--- a/crates/comethitchd/src/wire/postgres.rs
+++ b/crates/comethitchd/src/wire/postgres.rs
@@ -156,15 +156,35 @@
     });
 }
 
+/// What a host may answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// One row of one column, as on the platform.
+    #[default]
+    OneValue,
+    /// Any number of rows and columns, from any number of statements: what ordinary SQL is answered with.
+    Any,
+}
+
+/// An answer that is larger than what is passed on, though nothing is wrong with it.
+pub const TOO_LARGE: Malformed = Malformed("an answer larger than is passed on");
+/// The largest answer that is passed on, in bytes.
+pub const LARGEST_ANSWER: usize = 8 * LARGEST_MESSAGE;
+
 /// What a host has answered so far to one query, or to the startup message.
 #[derive(Debug, Default)]
 pub struct Answer {
+    form: Form,
     pub rank: Option<String>,
     pub as_of: Option<String>,
     pub vitals: Option<String>,
     pub code: Option<String>,
     /// RowDescription, DataRow and CommandComplete as they came.
     pub value: Vec<u8>,
+    /// The error as it came, where any answer may come.
+    pub error: Vec<u8>,
+    /// The host holds a transaction open: the connection can't carry another's query.
+    pub in_transaction: bool,
     row: Option<std::ops::Range<usize>>,
     stage: Stage,
 }
@@ -184,13 +204,15 @@
 
 /// Whether a host's message can still become one that is spoken, as far as it has come in. What can't is told
 /// by its first bytes: the rest might be long in coming, or never come.
-fn may_become(bytes: &[u8]) -> Result<(), Malformed> {
+fn may_become(bytes: &[u8], form: Form) -> Result<(), Malformed> {
     let Some(kind) = bytes.first() else { return Ok(()) };
     let body = match kind {
         b'R' => 4..=4,
         b'K' => 8..=8,
         b'Z' => 1..=1,
         b'I' => 0..=0,
+        b'T' if form == Form::Any => 2..=LARGEST_MESSAGE - 4,
+        b'D' if form == Form::Any => 2..=LARGEST_MESSAGE - 4,
         b'T' => 2 + 1 + 18..=LARGEST_TEXT,
         b'D' => 6..=LARGEST_MESSAGE,
         b'S' | b'C' | b'E' | b'N' | b'A' | b'v' => 1..=LARGEST_TEXT,
@@ -201,7 +223,7 @@
     if length.checked_sub(4).is_none_or(|length| !body.contains(&length)) {
         return Err(Malformed("a message has an impossible length"));
     }
-    if *kind == b'D' {
+    if *kind == b'D' && form == Form::OneValue {
         // A row of one column, which fills it.
         let columns = bytes.get(5..7).is_none_or(|columns| columns == [0, 1]);
         if !columns || u32_at(bytes, 7).is_some_and(|column| column as usize != length - 10) {
@@ -213,7 +235,7 @@
 
 /// A host's next message; nothing if it is not whole yet and can still become one.
 pub fn host_message(bytes: &[u8]) -> Result<Option<Message<'_>>, Malformed> {
-    may_become(bytes)?;
+    may_become(bytes, Form::OneValue)?;
     message(bytes)
 }
 
@@ -229,6 +251,16 @@
 }
 
 impl Answer {
+    pub fn of(form: Form) -> Answer {
+        Answer { form, ..Answer::default() }
+    }
+
+    /// The host's next message; nothing if it is not whole yet and can still become one of this answer's form.
+    pub fn next<'a>(&self, bytes: &'a [u8]) -> Result<Option<Message<'a>>, Malformed> {
+        may_become(bytes, self.form)?;
+        message(bytes)
+    }
+
     /// Takes in the host's next message; what it means must follow what came before.
     pub fn take(&mut self, message: &Message<'_>) -> Result<(), Malformed> {
         let one_text =
@@ -240,10 +272,18 @@
             (b'R', _) => return Err(Malformed("the host asks for a password")),
             (b'E', _) => {
                 let code = error_code(message.body).ok_or(Malformed("an error without a code"))?;
+                let refuses = matches!(&*code, "53300" | "57P03");
                 self.code = Some(code.into_owned());
+                // A client takes these two for a refusal, which only the module gives.
+                if self.form == Form::Any && !refuses {
+                    self.error = message.raw.to_vec();
+                }
                 return Ok(());
             }
             (b'I', Stage::Begun) => Stage::Complete,
+            (b'T', Stage::Begun | Stage::Complete) if self.form == Form::Any => Stage::Described,
+            (b'D', Stage::Described | Stage::Row) if self.form == Form::Any => Stage::Row,
+            (b'I' | b'C', stage) if self.form == Form::Any && *stage < Stage::Ready => Stage::Complete,
             (b'T', Stage::Begun) if describes_one(message.body) => Stage::Described,
             (b'D', Stage::Described) => Stage::Row,
             (b'C', Stage::Begun | Stage::Row) if one_text() => Stage::Complete,
@@ -252,12 +292,18 @@
             (b'Z', Stage::Begun) => Stage::Ready,
             _ => return Err(Malformed("a message out of its order")),
         };
+        self.in_transaction |= message.kind == b'Z' && message.body != b"I";
         if next == Stage::Row {
             self.row = Some(self.value.len() + 5..self.value.len() + message.raw.len());
         }
         if next != Stage::Ready {
-            if self.value.len() + message.raw.len() > LARGEST_MESSAGE {
-                return Err(Malformed("a value larger than it may be"));
+            let most = if self.form == Form::Any { LARGEST_ANSWER } else { LARGEST_MESSAGE };
+            if self.value.len() + message.raw.len() > most {
+                return Err(if self.form == Form::Any {
+                    TOO_LARGE
+                } else {
+                    Malformed("a value larger than it may be")
+                });
             }
             self.value.extend(message.raw);
         }
@@ -287,7 +333,8 @@
 
     /// The value is whole, whether or not anything follows it.
     pub fn whole(&self) -> bool {
-        self.row.is_some() && self.stage >= Stage::Complete && self.code.is_none()
+        let any = self.form == Form::Any && !self.value.is_empty();
+        (any || self.row.is_some()) && self.stage >= Stage::Complete && self.code.is_none()
     }
 
     /// The text of the row's one column.
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -58,6 +58,8 @@
 /// What a host does with a query.
 pub enum Act {
     Answer(Vec<u8>),
+    /// Sends these bytes, and nothing of its own behind them.
+    Raw(Vec<u8>),
     /// Says nothing until the router ends the connection.
     Silence,
     Close,
@@ -139,6 +141,9 @@
                 let rank = parameter("rank", if primary { "source" } else { "copy" });
                 let _ = stream.write_all(&[answer, rank, ready()].concat());
             }
+            Act::Raw(bytes) => {
+                let _ = stream.write_all(&bytes);
+            }
             Act::Silence => {
                 let _ = stream.read(&mut [0]);
                 break;
@@ -159,10 +164,15 @@
 
 impl Program {
     pub fn start(name: &str, site: &Value) -> Program {
+        Program::start_with(name, site, &[])
+    }
+
+    pub fn start_with(name: &str, site: &Value, more: &[&str]) -> Program {
         let file = std::env::temp_dir().join(format!("comethitchd-{}-{name}.json", std::process::id()));
         std::fs::write(&file, site.to_string()).expect("written");
         let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_comethitchd"))
             .arg("serve")
+            .args(more)
             .env("RELAY_CONFIG", &file)
             .stderr(std::process::Stdio::piped())
             .spawn()
@@ -254,11 +264,20 @@
 
 impl Router {
     pub fn start(site: Value) -> Router {
+        Router::judging(site, None)
+    }
+
+    /// With rules by which statements are judged by their text.
+    pub fn judging(site: Value, rules: Option<Value>) -> Router {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let thread = spawn(move || {
             let site = Site::read(&site.to_string(), |_| None).expect("a configuration");
+            let site = match rules {
+                Some(rules) => site.judging(&rules.to_string()).expect("rules"),
+                None => site,
+            };
             let listener = Async::new(listener).expect("a listener");
             async_io::block_on(listen::serve(Daemon::start(site, Clock::start()), listener, async {
                 let _ = stopped.recv().await;
