Log fields by name with times of RFC 3339, as text or as JSON, through logforth

Need: counts by verdict, cache hits and budget are to be read by programs. Result: the daemon's tests pass; a test reads the fields from the program's own log.

--- a/crates/comethitchd/src/main.rs
+++ b/crates/comethitchd/src/main.rs
@@ -4,7 +4,8 @@
 use comethitchd::service::classify::Classify;
 use comethitchd::service::clock::Clock;
 use comethitchd::service::configuration::Site;
-use comethitchd::service::{listen, logger};
+use comethitchd::service::listen;
+use comethitchd::service::logger::{self, LogForm};
 use log::LevelFilter;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -38,6 +39,9 @@
     /// what to log: error, warn, info, debug or trace; info if not given
     #[argh(option, default = "LevelFilter::Info")]
     log: LevelFilter,
+    /// how to write the log: text or json; text if not given
+    #[argh(option, default = "LogForm::Text")]
+    log_form: LogForm,
 }
 
 /// Read the configuration, say what is wrong with it, and serve nothing.
@@ -71,7 +75,7 @@
     match command {
         Command::Serve(serve) => {
             let clock = Clock::start();
-            logger::start(clock, serve.log);
+            logger::start(serve.log, serve.log_form);
             let (path, rules) = (serve.configuration, serve.statements);
             listen::run(load(&path, &rules)?, clock, move || load(&path, &rules))
         }
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/service/daemon.rs
@@ -8,6 +8,7 @@
 use crate::memory::pool::Pool;
 use crate::service::clock::Clock;
 use crate::service::configuration::Site;
+use crate::service::logger::{self, Fields};
 use crate::service::tally::{Tally, count_kind};
 use crate::stages::route::{self, Acts};
 use crate::wire::discovery::Listing;
@@ -16,6 +17,7 @@
 use comethitch::{Ending, Host, Role, Router};
 use comethitch_statement::Desk;
 use comethitch_statement::desk::Known;
+use log::Level;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -200,13 +202,25 @@
 
     /// Logs what was counted since the last time.
     pub fn report(&self) {
-        if let Some(told) = self.tally.told() {
-            let (clients, kept) = (self.clients.len(), self.pool.borrow().len());
-            let (used, hand) = (self.for_hosts.used(), self.commands.borrow().len());
-            log::info!("{told}; now {hand} in hand, {clients} clients, {kept} kept of {used} to hosts");
+        let mut told = self.tally.told();
+        if !told.is_empty() {
+            let now = [
+                ("now_in_hand", self.commands.borrow().len()),
+                ("now_clients", self.clients.len()),
+                ("now_kept", self.pool.borrow().len()),
+                ("now_to_hosts", self.for_hosts.used()),
+            ];
+            told.extend(now.map(|(name, number)| (name.to_string(), number as u64)));
+            logger::tell(Level::Info, module_path!(), "counts", &Fields(told));
+        }
+        if let Some(desk) = &mut *self.desk.borrow_mut() {
+            let told = shapes_told(desk);
+            if !told.is_empty() {
+                logger::tell(Level::Info, module_path!(), "statements", &Fields(told));
+            }
         }
         for ((host, ending), number) in self.tally.troubles.take() {
-            log::warn!("{}: {ending:?} {number} times", self.list.borrow().name(host));
+            log::warn!(number; "{}: {ending:?} {number} times", self.list.borrow().name(host));
         }
     }
 
@@ -233,3 +247,31 @@
         })
     }
 }
+
+/// What was done with statements since the last time, and what is held; empty if nothing was.
+fn shapes_told(desk: &mut Desk) -> Vec<(String, u64)> {
+    let done = desk.done();
+    let effects = Desk::EFFECTS.iter().zip(done.effects).map(|(effect, number)| (effect.name(), number));
+    let others = [
+        ("hits", done.hits),
+        ("parsed", done.parsed),
+        ("doubtful", done.doubtful),
+        ("beyond_client", done.beyond_client),
+        ("beyond_all", done.beyond_all),
+        ("refused", done.refused),
+        ("raised", done.raised),
+    ];
+    let mut told: Vec<(String, u64)> = effects
+        .chain(others)
+        .filter(|(_, number)| *number > 0)
+        .map(|(name, number)| (name.to_string(), number))
+        .collect();
+    if !told.is_empty() {
+        told.extend([
+            ("shapes_bytes".to_string(), desk.held() as u64),
+            ("turned_away_ever".to_string(), desk.cached().turned_away),
+            ("pushed_out_ever".to_string(), desk.cached().pushed_out),
+        ]);
+    }
+    told
+}
--- a/crates/comethitchd/src/service/logger.rs
+++ b/crates/comethitchd/src/service/logger.rs
@@ -1,32 +1,83 @@
-//! The log: one line each on standard error.
+//! The log: a line each on standard error, as text or as JSON, with times of RFC 3339 in UTC.
 
-use crate::service::clock::Clock;
-use log::{LevelFilter, Log, Metadata, Record};
-use std::io::Write;
+use log::kv::{Key, Source, ToValue, Value, VisitSource};
+use log::{Level, LevelFilter, Record};
+use logforth::append::Stderr;
+use logforth::bridge::log::LogBridge;
+use logforth::filter::FilterResult;
+use logforth::layout::text::jiff::tz::TimeZone;
+use logforth::layout::{JsonLayout, TextLayout};
+use logforth::record::FilterCriteria;
+use logforth::{Diagnostic, Filter};
+use std::str::FromStr;
 
-struct Logger(Clock);
+/// How lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogForm {
+    /// Time, level, source, message, then the fields as `name=value`.
+    #[default]
+    Text,
+    /// One JSON object.
+    Json,
+}
 
-impl Log for Logger {
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.target().starts_with("comethitch")
-    }
+impl FromStr for LogForm {
+    type Err = String;
 
-    fn log(&self, record: &Record) {
-        if self.enabled(record.metadata()) {
-            let now = self.0.now().0;
-            let (seconds, part) = (now / 1_000_000, now % 1_000_000 / 1_000);
-            let line = format!("{seconds}.{part:03} {:5} {}\n", record.level(), record.args());
-            // A log that can't be written is no reason to stop serving.
-            let _ = std::io::stderr().write_all(line.as_bytes());
+    fn from_str(name: &str) -> Result<LogForm, String> {
+        match name {
+            "text" => Ok(LogForm::Text),
+            "json" => Ok(LogForm::Json),
+            other => Err(format!("the log's form is text or json, not {other:?}")),
         }
     }
+}
+
+/// Other libraries' lines are left out.
+#[derive(Debug)]
+struct Ours;
 
-    fn flush(&self) {}
+impl Filter for Ours {
+    fn enabled(&self, of: &FilterCriteria, _: &[Box<dyn Diagnostic>]) -> FilterResult {
+        match of.target().starts_with("comethitch") {
+            true => FilterResult::Neutral,
+            false => FilterResult::Reject,
+        }
+    }
 }
 
 /// Starts the log; a second call changes nothing.
-pub fn start(clock: Clock, level: LevelFilter) {
-    if log::set_boxed_logger(Box::new(Logger(clock))).is_ok() {
+pub fn start(level: LevelFilter, form: LogForm) {
+    let append = match form {
+        LogForm::Text => {
+            Stderr::default().with_layout(TextLayout::default().no_color().timezone(TimeZone::UTC))
+        }
+        LogForm::Json => Stderr::default().with_layout(JsonLayout::default().timezone(TimeZone::UTC)),
+    };
+    let logger = logforth::core::builder().dispatch(|line| line.filter(Ours).append(append)).build();
+    if log::set_boxed_logger(Box::new(LogBridge::new(logger))).is_ok() {
         log::set_max_level(level);
     }
 }
+
+/// Fields whose names are known only as they are told.
+pub struct Fields(pub Vec<(String, u64)>);
+
+impl Source for Fields {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), log::kv::Error> {
+        self.0
+            .iter()
+            .try_for_each(|(name, number)| visitor.visit_pair(Key::from_str(name), number.to_value()))
+    }
+
+    fn get(&self, key: Key<'_>) -> Option<Value<'_>> {
+        self.0.iter().find(|(name, _)| name == key.as_str()).map(|(_, number)| number.to_value())
+    }
+}
+
+/// Logs a line with such fields.
+pub fn tell(level: Level, target: &str, message: &str, fields: &Fields) {
+    let arguments = format_args!("{message}");
+    log::logger()
+        .log(&Record::builder().args(arguments).level(level).target(target).key_values(fields).build());
+}
--- a/crates/comethitchd/src/service/tally.rs
+++ b/crates/comethitchd/src/service/tally.rs
@@ -35,28 +35,24 @@
 }
 
 impl Tally {
-    /// What was counted, in words, and from nothing again; none if nothing was.
-    pub fn told(&self) -> Option<String> {
+    /// What was counted, as fields by name, and from nothing again; empty if nothing was.
+    pub fn told(&self) -> Vec<(String, u64)> {
         let named = [
             ("taken", &self.taken),
             ("answered", &self.answered),
             ("throttled", &self.throttled),
-            ("throttled at the limit of connections", &self.at_limit),
+            ("throttled_at_limit", &self.at_limit),
             ("failed", &self.failed),
-            ("clients left", &self.left),
-            ("not understood", &self.rejected),
+            ("clients_left", &self.left),
+            ("not_understood", &self.rejected),
             ("probes", &self.probes),
-            ("probes failed", &self.probes_failed),
+            ("probes_failed", &self.probes_failed),
             ("connected", &self.connected),
         ];
         let counts = named.into_iter().map(|(name, cell)| (name.to_string(), cell.take()));
+        let endings = self.endings.take().into_iter();
         let endings =
-            self.endings.take().into_iter().map(|(e, number)| (format!("dispatches {e:?}"), number));
-        let told: Vec<String> = counts
-            .chain(endings)
-            .filter(|(_, number)| *number > 0)
-            .map(|(name, number)| format!("{name} {number}"))
-            .collect();
-        (!told.is_empty()).then(|| told.join(", "))
+            endings.map(|(ending, number)| (format!("dispatches_{ending:?}").to_lowercase(), number));
+        counts.chain(endings).filter(|(_, number)| *number > 0).collect()
     }
 }
--- a/crates/comethitchd/tests/statements.rs
+++ b/crates/comethitchd/tests/statements.rs
@@ -306,6 +306,34 @@
     std::fs::remove_file(&file).expect("removed");
 }
 
+#[test]
+fn the_log_tells_verdicts_as_fields_of_json() {
+    let primary = host(true, |_, _| Act::Answer(row(b"value")));
+    let site = site(&[entry("p", primary.address, true, "ready")], None, 1024);
+    let file = std::env::temp_dir().join(format!("comethitchd-{}-told.json", std::process::id()));
+    std::fs::write(&file, rules().to_string()).expect("written");
+    let path = file.to_str().expect("a path");
+    let mut program = Program::start_with("json", &site, &["--statements", path, "--log-form", "json"]);
+    let mut client = Client::connect(program.address);
+    for text in
+        ["DELETE FROM facts", "DELETE  FROM facts", "/* id=1,c=read,d=900,cluster=0 */ DELETE FROM facts"]
+    {
+        client.ask(text);
+    }
+    program.signal("TERM");
+    let line = program.log.find(|line| line.contains("\"statements\"")).expect("a line about statements");
+    let line: Value = serde_json::from_str(&line).expect("JSON");
+    let kvs = &line["kvs"];
+    assert_eq!(
+        (&kvs["write"], &kvs["parsed"], &kvs["hits"], &kvs["refused"]),
+        (&json!(3), &json!(1), &json!(2), &json!(1))
+    );
+    let time = line["timestamp"].as_str().expect("a time");
+    assert!(time.len() > 20 && time.as_bytes()[10] == b'T' && time.ends_with("+00:00"), "{time}");
+    program.ends();
+    std::fs::remove_file(&file).expect("removed");
+}
+
 #[test]
 fn the_sample_of_rules_fits_the_sample_of_a_configuration_and_its_schema() {
     let site = Site::read(SAMPLE, |_| None).expect("the sample");
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -180,7 +180,9 @@
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         let mut log: Box<dyn Iterator<Item = String>> = Box::new(lines.map_while(Result::ok));
         let line = log.find(|line| line.contains(" listens on ")).expect("a line");
-        let address = line.rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
+        // The address ends the message, and in JSON its text.
+        let told = line.split(" listens on ").nth(1).and_then(|rest| rest.split([' ', '"']).next());
+        let address = told.and_then(|text| text.parse().ok()).expect("an address");
         Program { child, file, log, address }
     }
 
