--- /dev/null
+++ b/crates/comethitch-statement/benches/statements.rs
@@ -0,0 +1,58 @@
+//! What a statement costs on each way through the desk.
+
+use comethitch_statement::{Catalogue, Classifier, Dialect, Lexer, Secret, cache::Cache};
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use std::hint::black_box;
+
+/// A hundred bytes of an ordinary statement.
+const ORDINARY: &str = "SELECT f.data, c.titulo FROM facts f JOIN capitulos c ON c.id = f.id WHERE f.code = '7f3a9c21' AND c.n > 3";
+const MARKED: &str = "SELECT data FROM facts WHERE code = '7f3a9c21e0b4d655'";
+
+fn ways(criterion: &mut Criterion) {
+    let (secret, catalogue) = (Secret([9; 16]), Catalogue::default());
+    let classifier = Classifier::new(Dialect::Postgres, &catalogue);
+    let mut group = criterion.benchmark_group("ways");
+    for (name, text) in [("100 bytes", ORDINARY), ("54 bytes", MARKED)] {
+        let mut lexer = Lexer::new(Dialect::Postgres);
+        let mut cache = Cache::new(4 << 20);
+        lexer.read(text.as_bytes());
+        cache.put(secret.key(lexer.shape()), classifier.classify(&lexer), 500, 1);
+        group.bench_function(BenchmarkId::new("hit", name), |bench| {
+            bench.iter(|| {
+                lexer.read(black_box(text.as_bytes()));
+                let key = secret.key(lexer.shape());
+                cache.get(key, 1).map(|verdict| verdict.effect)
+            });
+        });
+        group.bench_function(BenchmarkId::new("miss", name), |bench| {
+            bench.iter(|| {
+                lexer.read(black_box(text.as_bytes()));
+                classifier.classify(&lexer).effect
+            });
+        });
+        group.bench_function(BenchmarkId::new("beyond the budget", name), |bench| {
+            bench.iter(|| {
+                lexer.read(black_box(text.as_bytes()));
+                classifier.cautious(&lexer, "spent").effect
+            });
+        });
+    }
+    group.finish();
+}
+
+fn lengths(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("reading by length");
+    for kib in [1_usize, 32, 1024] {
+        let text = format!("SELECT a FROM t WHERE b IN ({}1)", "1234567, ".repeat((kib << 10) / 9));
+        let text = &text[..text.len().min(kib << 10)];
+        let mut lexer = Lexer::new(Dialect::Postgres);
+        group.throughput(Throughput::Bytes(text.len() as u64));
+        group.bench_function(BenchmarkId::from_parameter(format!("{kib} KiB")), |bench| {
+            bench.iter(|| lexer.read(black_box(text.as_bytes())));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, ways, lengths);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/comethitch-statement/fuzz/fuzz_targets/classify.rs
@@ -0,0 +1,20 @@
+//! Any bytes get a verdict in both dialects, and what is no UTF-8 is never a read. A read with a write behind it
+//! is no read.
+#![no_main]
+
+use comethitch_statement::{Catalogue, Classifier, Dialect, Effect, Lexer};
+use libfuzzer_sys::fuzz_target;
+
+fuzz_target!(|bytes: &[u8]| {
+    let catalogue = Catalogue::default();
+    for dialect in [Dialect::Postgres, Dialect::Tsql] {
+        let classifier = Classifier::new(dialect, &catalogue);
+        let mut lexer = Lexer::new(dialect);
+        lexer.read(bytes);
+        if classifier.classify(&lexer).effect == Effect::Read {
+            assert!(std::str::from_utf8(bytes).is_ok());
+            lexer.read(&[bytes, b"\n;DELETE FROM t"].concat());
+            assert_ne!(classifier.classify(&lexer).effect, Effect::Read);
+        }
+    }
+});
--- a/crates/comethitch-statement/src/desk.rs
+++ b/crates/comethitch-statement/src/desk.rs
@@ -227,7 +227,11 @@
             Ok(passed) => self.done.raised += u64::from(passed.assigned.raised),
             Err(_) => self.done.refused += 1,
         }
-        passed.map_err(Turned::Refused)
+        passed.map_err(|refusal| match refusal {
+            // A later try may find the budget filled.
+            Refusal::NotParsed { .. } if path == Path::Beyond => Turned::Throttled,
+            refusal => Turned::Refused(refusal),
+        })
     }
 
     /// Says where a statement goes that was looked at last.
--- a/crates/comethitch-statement/src/sketch.rs
+++ b/crates/comethitch-statement/src/sketch.rs
@@ -7,8 +7,9 @@
 const ROWS: usize = 4;
 /// The largest count of a counter.
 const MOST: u8 = 15;
-/// Counters in each row, for each key that the sketch is made for.
-const WIDTH: usize = 2;
+/// Counters in each row, for each key that the sketch is made for: nearly as many as keys that come between two
+/// halvings, so that a flood of keys that come once seldom looks like keys that come again.
+const WIDTH: usize = 8;
 /// So many keys are counted, for each that it is made for, before counts are halved.
 const SAMPLE: usize = 10;
 
--- /dev/null
+++ b/crates/comethitch-statement/tests/memory.rs
@@ -0,0 +1,210 @@
+//! The cache of shapes, the sketch, the budget and the learned costs, each under what it is for.
+
+use comethitch::time::{Span, Time};
+use comethitch_statement::ShapeKey;
+use comethitch_statement::budget::{Budget, Grant, Parts};
+use comethitch_statement::cache::Cache;
+use comethitch_statement::cost::{Cost, Pace};
+use comethitch_statement::sketch::Sketch;
+
+/// A key as a hash would give it.
+fn key(number: u64) -> ShapeKey {
+    let mixed = |seed: u64| {
+        let mut x = number.wrapping_add(seed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        x = (x ^ x >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        (x ^ x >> 27).wrapping_mul(0x94d0_49bb_1331_11eb)
+    };
+    ShapeKey(u128::from(mixed(1)) << 64 | u128::from(mixed(2)))
+}
+
+const BOUND: usize = 1 << 20;
+const VALUE: usize = 400;
+
+/// Asks for a shape, and puts it in if it is not there; true if it was.
+fn ask(cache: &mut Cache<u64>, number: u64, client: u64) -> bool {
+    let hit = cache.get(key(number), client).copied();
+    if hit.is_none() {
+        cache.put(key(number), number, VALUE, client);
+    }
+    assert!(hit.is_none_or(|value| value == number), "another's value");
+    hit.is_some()
+}
+
+#[test]
+fn one_pass_of_unique_shapes_pushes_out_nothing_in_use() {
+    let mut cache = Cache::new(BOUND);
+    (0..3).for_each(|_| {
+        (0..500).for_each(|number| {
+            ask(&mut cache, number, 1);
+        })
+    });
+    let mut missed = 0;
+    for number in 10_000..200_000 {
+        ask(&mut cache, number, 1);
+        // What is in use is asked for once in five thousand.
+        missed += usize::from(number % 10 == 0 && !ask(&mut cache, number / 10 % 500, 1));
+        assert!(cache.held() <= BOUND, "{} bytes", cache.held());
+    }
+    assert!(missed <= 10, "{missed} of 19000 asks missed");
+    let kept = (0..500).filter(|number| cache.get(key(*number), 1).is_some()).count();
+    assert!(kept >= 490, "{kept} of 500 are left");
+}
+
+#[test]
+fn a_clients_flood_costs_another_none_of_its_hits() {
+    let mut cache = Cache::new(BOUND);
+    (0..3).for_each(|_| {
+        (0..300).for_each(|number| {
+            ask(&mut cache, number, 1);
+        })
+    });
+    // Each shape of the flood comes again and again, so that how often it is asked for does not tell it apart.
+    for round in 0..50 {
+        for number in 0..2_000 {
+            for _ in 0..6 {
+                ask(&mut cache, 10_000 + round * 2_000 + number, 2);
+            }
+        }
+    }
+    let kept = (0..300).filter(|number| cache.get(key(*number), 1).is_some()).count();
+    assert!(kept >= 290, "{kept} of 300 are left");
+    // Alone, a client may use the whole cache.
+    let mut alone = Cache::new(BOUND);
+    (0..4).for_each(|_| {
+        (0..1_200).for_each(|number| {
+            ask(&mut alone, number, 3);
+        })
+    });
+    let kept = (0..1_200).filter(|number| alone.get(key(*number), 3).is_some()).count();
+    assert!(kept >= 1_150, "{kept} of 1200 are there");
+}
+
+#[test]
+fn what_is_asked_for_now_takes_the_place_of_what_was_long_ago() {
+    let mut cache = Cache::new(BOUND);
+    (0..20).for_each(|_| {
+        (0..1_400).for_each(|number| {
+            ask(&mut cache, number, 1);
+        })
+    });
+    let hits = (0..60).map(|_| (5_000..6_400).filter(|number| ask(&mut cache, *number, 1)).count());
+    let hits: Vec<usize> = hits.collect();
+    assert!(hits[59] > 1_200, "{hits:?}");
+}
+
+#[test]
+fn values_of_any_size_come_and_go_within_the_bound() {
+    let mut cache = Cache::new(BOUND);
+    let mut seed = 7_u64;
+    let mut draw = |below: u64| {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (seed >> 33) % below
+    };
+    for _ in 0..200_000 {
+        let (number, client, bytes) = (draw(6_000), draw(90), draw(20_000) as usize);
+        match cache.get(key(number), client) {
+            Some(value) => assert_eq!(*value, number),
+            None => cache.put(key(number), number, bytes, client),
+        }
+        assert!(cache.held() <= BOUND);
+    }
+    assert!(cache.len() > 50, "{} are held", cache.len());
+    cache.clear();
+    assert_eq!(cache.get(key(1), 1), None);
+    (0..2_000).for_each(|number| {
+        ask(&mut cache, number, 1);
+    });
+    assert!(cache.len() > 1_000, "{} are held after a new start", cache.len());
+}
+
+#[test]
+fn the_sketch_counts_not_too_low_and_forgets() {
+    let mut sketch = Sketch::new(1_000);
+    for number in 0..500 {
+        (0..number % 12).for_each(|_| sketch.count(key(number)));
+    }
+    let low = (0..500).filter(|number| u64::from(sketch.often(key(*number))) < number % 12).count();
+    let exact = (0..500).filter(|number| u64::from(sketch.often(key(*number))) == number % 12).count();
+    assert_eq!(low, 0);
+    assert!(exact > 450, "{exact} of 500 are exact");
+    let before = sketch.often(key(11));
+    (0..10_000).for_each(|number| sketch.count(key(50_000 + number)));
+    assert!(sketch.often(key(11)) <= before / 2 + 1, "{before} has become {}", sketch.often(key(11)));
+}
+
+#[test]
+fn a_client_that_spends_its_budget_leaves_others_theirs() {
+    let (parts, second) = (Parts { all: 0.1, client: 0.25 }, Span(1_000_000));
+    let mut budget = Budget::new(parts, Time(0));
+    let mut now = Time(0);
+    let (mut flood, mut steady, mut refused) = (0_u64, 0_u64, 0);
+    // For ten seconds one client asks without end, another a hundred times a second; a parse takes 100 µs.
+    for step in 0..100_000_u64 {
+        now = now + Span(100);
+        let mut ask = |client: u64| match budget.ask(client, 42, now) {
+            Grant::Granted(taken) => {
+                budget.settle(client, 42, taken, Span(100));
+                true
+            }
+            _ => false,
+        };
+        flood += u64::from(ask(1)) * 100;
+        if step % 100 == 0 {
+            if ask(2) { steady += 100 } else { refused += 1 }
+        }
+    }
+    assert_eq!((refused, steady), (0, 100_000));
+    let most = (second.0 as f64 * 11.0 * parts.all * parts.client) as u64;
+    assert!(flood <= most + 200, "the flood had {flood} µs of {most}");
+    assert!(flood >= most * 9 / 10, "and what is its own: {flood} µs");
+}
+
+#[test]
+fn many_clients_together_stay_within_the_budget_of_all() {
+    let mut budget = Budget::new(Parts { all: 0.05, client: 0.5 }, Time(0));
+    let (mut spent, mut seen) = (0, false);
+    for step in 0..200_000_u64 {
+        let now = Time(step * 20);
+        match budget.ask(step % 97, 42, now) {
+            Grant::Granted(taken) => {
+                budget.settle(step % 97, 42, taken, Span(100));
+                spent += 100;
+            }
+            grant => seen |= grant == Grant::AllSpent,
+        }
+    }
+    // Four seconds, and what was saved up at first.
+    assert!(seen && spent <= 250_200, "{spent} µs");
+    assert!(spent >= 225_000, "{spent} µs");
+}
+
+#[test]
+fn a_shape_that_turns_out_heavy_moves_and_does_not_flap() {
+    let (bounds, pace) = ([Span(20_000)], Pace::default());
+    let mut cost = Cost::default();
+    (0..50).for_each(|_| cost.learn(Span(1_500)));
+    assert_eq!(cost.band(&bounds, pace, 1.0), 0);
+    (0..400).for_each(|_| cost.learn(Span(300_000)));
+    assert_eq!(cost.band(&bounds, pace, 1.0), 1, "what was long ago fades");
+    // Answers about the bound, in turns: it changes its band once at the most.
+    let mut changes = 0;
+    let mut band = 1;
+    for round in 0..2_000_u64 {
+        cost.learn(Span(if round / 40 % 2 == 0 { 18_500 } else { 21_500 }));
+        let now = cost.band(&bounds, pace, 1.0);
+        changes += u32::from(now != band);
+        band = now;
+    }
+    assert!(changes <= 1, "{changes} changes");
+}
+
+#[test]
+fn the_pace_of_all_makes_the_first_guess() {
+    let mut pace = Pace::default();
+    (0..1_000).for_each(|_| pace.learn(4.0, Span(40_000)));
+    let guessed = pace.cost(2.0);
+    assert!((18_000..=22_000).contains(&guessed.0), "{guessed:?}");
+    // One answer that took for ever moves it little.
+    pace.learn(1.0, Span(60_000_000));
+    assert!(pace.cost(2.0).0 < 25_000, "{:?}", pace.cost(2.0));
+}
--- /dev/null
+++ b/crates/comethitch-statement/tests/rules.rs
@@ -0,0 +1,221 @@
+//! Where statements go by the operator's rules, and which rules are turned down.
+
+use comethitch::time::{Span, Time};
+use comethitch::{CommandGroup, Effect as Repeat, Need, Reach};
+use comethitch_statement::assign::{Refusal, fnv1a};
+use comethitch_statement::desk::{Desk, Passed, Path, Told, Turned};
+use comethitch_statement::{Rules, Secret};
+use serde_json::{Value, json};
+
+fn groups() -> (Vec<CommandGroup>, Vec<String>) {
+    let group = |effect, need| CommandGroup {
+        target: Span(250_000),
+        timeout: Span(600_000),
+        benefit: 1.0,
+        effect,
+        reach: Reach::Shard,
+        remembered: Span(0),
+        need,
+    };
+    let all = [
+        ("read", group(Repeat::Replayable, Need::Bounded(Span(3_000_000)))),
+        ("fresh", group(Repeat::Replayable, Need::Fresh)),
+        ("heavy", group(Repeat::Replayable, Need::Any)),
+        ("locked", group(Repeat::Replayable, Need::Write)),
+        ("keyed", group(Repeat::Keyed, Need::Write)),
+        ("write", group(Repeat::Mutating, Need::Write)),
+    ];
+    all.into_iter().map(|(name, group)| (group, name.to_string())).unzip()
+}
+
+fn rules() -> Value {
+    json!({
+        "dialect": "postgres",
+        "disagreement": "refuse",
+        "commentless": {"wait_ms": 900},
+        "groups": [
+            {"group": "fresh", "effects": ["read"], "tables": ["saldos"]},
+            {"group": "heavy", "effects": ["read"], "from_ms": 50.0},
+            {"group": "read", "effects": ["read"]},
+            {"group": "locked", "effects": ["locking_read"]},
+            {"group": "keyed", "effects": ["write"], "tables": ["marcas"]},
+            {"group": "write", "effects": ["write", "unknown"]}
+        ],
+        "keys": [
+            {"tables": ["facts"], "column": "code", "spread": {"hash": [4, 5, 6]}},
+            {"tables": ["saldos"], "column": "lector", "spread": {"range": [{"below": "m", "hosts": 1}, {"hosts": 2}]}}
+        ],
+        "elsewhere": 9
+    })
+}
+
+fn desk(rules: &Value) -> Result<Desk, String> {
+    let rules: Rules = serde_json::from_value(rules.clone()).expect("rules");
+    let (groups, names) = groups();
+    Desk::new(rules, &groups, &names, Secret([3; 16]), Time(0))
+}
+
+fn admit(desk: &mut Desk, text: &str, group: Option<&str>) -> Result<Passed, Turned> {
+    let group = group.map(|group| groups().1.iter().position(|name| name == group).expect("a group"));
+    desk.admit(text.as_bytes(), Told { group, shard: None }, 1, &|| Time(0))
+}
+
+#[test]
+fn statements_go_where_the_rules_say() {
+    let mut desk = desk(&rules()).expect("rules");
+    let hashed = |key: &str| [4, 5, 6][(fnv1a(key.as_bytes()) % 3) as usize];
+    for (text, group, hosts) in [
+        ("SELECT data FROM facts WHERE code = 'k1'", "read", hashed("k1")),
+        ("SELECT data FROM facts WHERE code = 'it''s'", "read", hashed("it's")),
+        ("SELECT data FROM facts WHERE code IN (17, '17')", "read", hashed("17")),
+        ("SELECT * FROM saldos WHERE lector = 'ana'", "fresh", 1),
+        ("SELECT * FROM saldos s JOIN series x ON x.id = s.id WHERE s.lector = 'zoe'", "fresh", 2),
+        ("SELECT * FROM facts WHERE code = 'a' FOR UPDATE", "locked", hashed("a")),
+        ("INSERT INTO marcas VALUES (1)", "keyed", 9),
+        ("UPDATE saldos SET n = 1 WHERE lector = 'ana'", "write", 1),
+        ("SELECT CAST(a AS precio) FROM series", "write", 9),
+    ] {
+        let passed = admit(&mut desk, text, None).expect(text);
+        assert_eq!(
+            (groups().1[passed.assigned.group].as_str(), passed.assigned.shard),
+            (group, hosts),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn what_would_touch_two_groups_of_hosts_or_names_none_is_refused_with_its_reason() {
+    let mut desk = desk(&rules()).expect("rules");
+    let two =
+        ["a", "b", "c", "d", "e", "f"].iter().map(|key| format!("'{key}'")).collect::<Vec<_>>().join(", ");
+    for (text, wanted) in [
+        (format!("SELECT data FROM facts WHERE code IN ({two})"), "groups of hosts"),
+        (
+            "SELECT * FROM saldos a, saldos b WHERE a.lector = 'ana' AND b.lector = 'zoe'".into(),
+            "groups of hosts 1 and 2",
+        ),
+        ("SELECT data FROM facts".into(), "facts lies by code"),
+        ("SELECT data FROM facts WHERE code = $1".into(), "facts lies by code"),
+        ("SELECT data FROM facts WHERE code = 007".into(), "facts lies by code"),
+        ("SELECT data FROM facts WHERE code = - 7".into(), "facts lies by code"),
+        ("SELECT 1 FROM saldos WHERE lector = 'ana' OR true".into(), "saldos lies by lector"),
+        ("SELECT 'unterminated".into(), "has no end"),
+        ("BEGIN".into(), "transactions"),
+        ("SHOW work_mem".into(), "no rule"),
+    ] {
+        let Err(Turned::Refused(refusal)) = admit(&mut desk, &text, None) else {
+            panic!("{text} has passed")
+        };
+        assert!(refusal.to_string().contains(wanted), "{text}: {refusal}");
+    }
+}
+
+#[test]
+fn a_comment_may_be_stricter_than_the_text_and_never_milder() {
+    let mut desk = desk(&rules()).expect("rules");
+    for (text, group, passes) in [
+        ("SELECT 1", "read", true),
+        ("SELECT 1", "write", true),
+        ("SELECT 1 FROM series FOR SHARE", "read", false),
+        ("SELECT 1 FROM series FOR SHARE", "locked", true),
+        ("DELETE FROM series", "locked", false),
+        ("DELETE FROM series", "keyed", true),
+        ("SELECT CAST(a AS precio) FROM series", "keyed", false),
+        ("SELECT CAST(a AS precio) FROM series", "write", true),
+        ("DELETE FROM series", "fresh", false),
+    ] {
+        let passed = admit(&mut desk, text, Some(group));
+        match passed {
+            Ok(passed) => assert!(passes && !passed.assigned.raised, "{text} as {group}"),
+            Err(Turned::Refused(Refusal::Disagrees { .. })) => assert!(!passes, "{text} as {group}"),
+            Err(other) => panic!("{text} as {group}: {other:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_shape_that_turns_out_heavy_moves_to_the_heavy_group() {
+    let mut desk = desk(&rules()).expect("rules");
+    let text = "SELECT * FROM series WHERE titulo LIKE 'x%'";
+    let passed = admit(&mut desk, text, None).expect("it passes");
+    assert_eq!(groups().1[passed.assigned.group], "read");
+    (0..30).for_each(|_| desk.learn(&passed.known, Span(400_000)));
+    let other =
+        admit(&mut desk, "select * from SERIES where titulo like 'another%'", None).expect("it passes");
+    assert_eq!((groups().1[other.assigned.group].as_str(), other.path), ("heavy", Path::Hit));
+}
+
+#[test]
+fn past_the_budget_a_statement_is_taken_for_unknown_or_throttled() {
+    for beyond in ["cautious", "throttle"] {
+        let mut with_budget = rules();
+        with_budget["parsing"] = json!({"core_part": 0.001, "client_part": 0.5, "beyond": beyond});
+        let mut desk = desk(&with_budget).expect("rules");
+        let known = "SELECT 1 FROM series WHERE a = 1";
+        admit(&mut desk, known, None).expect("it passes");
+        // Each look at the clock is 50 µs after the one before.
+        let ticks = std::cell::Cell::new(0);
+        let clock = || {
+            ticks.set(ticks.get() + 50);
+            Time(ticks.get())
+        };
+        let told = |shard| Told { group: None, shard };
+        for nth in 0..500 {
+            let _ = desk.admit(format!("SELECT c{nth} FROM series").as_bytes(), told(None), 1, &clock);
+        }
+        match (beyond, desk.admit(b"SELECT last FROM series", told(Some(9)), 1, &clock)) {
+            ("cautious", Ok(passed)) => {
+                let group = &groups().1[passed.assigned.group];
+                assert_eq!((group.as_str(), passed.path), ("write", Path::Beyond));
+                // Without a parse its key is not known, and a later try may be parsed.
+                let turned = desk.admit(b"SELECT last FROM series", told(None), 1, &clock);
+                assert_eq!(turned.err(), Some(Turned::Throttled));
+            }
+            ("throttle", Err(Turned::Throttled)) => {}
+            (beyond, other) => panic!("{beyond}: {other:?}"),
+        }
+        let hit = admit(&mut desk, known, None).expect("what is known costs nothing");
+        assert_eq!(hit.path, Path::Hit);
+    }
+}
+
+#[test]
+fn faulty_rules_are_turned_down_with_the_key() {
+    let with = |change: &dyn Fn(&mut Value)| {
+        let mut rules = rules();
+        change(&mut rules);
+        desk(&rules).err().unwrap_or_default()
+    };
+    let group = |effects: Value, name: &str| json!({"group": name, "effects": effects});
+    type Change<'a> = &'a dyn Fn(&mut Value);
+    let faults: [(&str, Change<'_>); 16] = [
+        ("groups.2.group is no command group", &|r| r["groups"][2]["group"] = "x".into()),
+        ("groups.2.effects holds write", &|r| r["groups"][2] = group(json!(["read", "write"]), "read")),
+        ("groups.2.effects holds locking_read", &|r| {
+            r["groups"][2] = group(json!(["locking_read"]), "fresh")
+        }),
+        ("groups.2.effects holds write", &|r| r["groups"][2] = group(json!(["write"]), "locked")),
+        ("groups.2.effects holds unknown", &|r| r["groups"][2] = group(json!(["unknown"]), "keyed")),
+        ("groups.2.effects must name", &|r| r["groups"][2] = group(json!([]), "write")),
+        ("groups must hold a rule", &|r| r["groups"] = json!([])),
+        ("groups.1.from_ms must be", &|r| r["groups"][1]["from_ms"] = (-1.0).into()),
+        ("groups.1.below_ms must be above", &|r| r["groups"][1]["below_ms"] = 3.into()),
+        ("keys.0.tables must name", &|r| r["keys"][0]["tables"] = json!([])),
+        ("keys.1.tables names \"facts\"", &|r| r["keys"][1]["tables"] = json!(["facts"])),
+        ("keys.0.spread.hash", &|r| r["keys"][0]["spread"] = json!({"hash": []})),
+        ("keys.1.spread.range must end", &|r| {
+            r["keys"][1]["spread"] = json!({"range": [{"below": 3, "hosts": 1}]})
+        }),
+        ("keys.1.spread.range.1.below must be above", &|r| {
+            r["keys"][1]["spread"] =
+                json!({"range": [{"below": 3, "hosts": 1}, {"below": "a", "hosts": 1}, {"hosts": 1}]});
+        }),
+        ("cache.kib", &|r| r["cache"] = json!({"kib": 1})),
+        ("parsing.core_part", &|r| r["parsing"] = json!({"core_part": 0.0})),
+    ];
+    for (fault, change) in faults {
+        let told = with(change);
+        assert!(told.contains(fault), "{fault}: {told:?}");
+    }
+}
--- /dev/null
+++ b/crates/comethitch-statement/tests/shapes.rs
@@ -0,0 +1,235 @@
+//! What makes two statements one shape, and that no text is too strange to be read.
+
+use comethitch_statement::lexer::{Form, Kind};
+use comethitch_statement::{Catalogue, Classifier, Dialect, Effect, Lexer, Verdict};
+use proptest::prelude::*;
+use serde_json::Value;
+
+fn shape(dialect: Dialect, text: &str) -> Vec<u8> {
+    let mut lexer = Lexer::new(dialect);
+    lexer.read(text.as_bytes());
+    lexer.shape().to_vec()
+}
+
+fn verdict(dialect: Dialect, text: &[u8]) -> Verdict {
+    let (mut lexer, catalogue) = (Lexer::new(dialect), Catalogue::default());
+    lexer.read(text);
+    Classifier::new(dialect, &catalogue).classify(&lexer)
+}
+
+#[test]
+fn statements_that_differ_in_literals_case_and_space_alone_share_a_shape() {
+    let alike = [
+        (
+            Dialect::Postgres,
+            vec!["b = 1", "B=2 -- x", "b = $1", "/* y */ b\n=\t'z'", "b = -3", "b=$$q$$", "b = E'\\'';"],
+        ),
+        (Dialect::Postgres, vec!["a IN (1)", "a in (1, 2, 3)", "A IN ('x','y')", "a IN (-1, -2)"]),
+        (Dialect::Postgres, vec!["VALUES (1, 'a')", "VALUES (1, 'a'), (2, 'b')", "values (1,2),(3,4),(5,6)"]),
+        (Dialect::Postgres, vec!["VALUES (1, now())", "VALUES (1, now()), (2, NOW())"]),
+        (Dialect::Postgres, vec!["ARRAY[1]", "array[1, 2]"]),
+        (Dialect::Postgres, vec!["x = 'a'", "x = 'a'\n'b'", "x = 'a' -- c\n 'b'"]),
+        (Dialect::Tsql, vec!["b = 1", "B=@p1 -- x", "b = ?", "b = N'it''s'", "b = $3.50", "b = 0xFF"]),
+    ];
+    for (dialect, texts) in alike {
+        for text in &texts {
+            assert_eq!(shape(dialect, text), shape(dialect, texts[0]), "{text:?} as {:?}", texts[0]);
+        }
+    }
+    let apart = [
+        ("\"T\"", "t"),
+        ("\"T\"", "\"t\""),
+        ("a = b", "a = 'b'"),
+        ("f(1)", "f(1, 2)"),
+        ("a IN (1)", "a IN (b)"),
+        ("a - 1", "a 1"),
+        ("VALUES (1), (b)", "VALUES (1)"),
+        ("VALUES (1, 2)", "VALUES (1), (2)"),
+        ("a.b", "a,b"),
+        ("a ? 'b'", "a = 'b'"),
+        ("a || 'b'", "a | 'b'"),
+    ];
+    for (one, other) in apart {
+        assert_ne!(shape(Dialect::Postgres, one), shape(Dialect::Postgres, other), "{one:?} and {other:?}");
+    }
+    // A quoted name can't pass for what stands for a literal.
+    assert_ne!(shape(Dialect::Postgres, "a = \"\u{1}\""), shape(Dialect::Postgres, "a = 1"));
+}
+
+#[test]
+fn literals_keep_their_places_and_the_placeholders_that_they_fold_into() {
+    let text = "INSERT INTO t (a, b) VALUES (1, 'x'), (2, 'y') ON CONFLICT (a) DO UPDATE SET b = 'z'";
+    let mut lexer = Lexer::new(Dialect::Postgres);
+    lexer.read(text.as_bytes());
+    let told: Vec<(u32, Form, &str)> = lexer
+        .literals()
+        .iter()
+        .map(|literal| {
+            (literal.placeholder, literal.form, &text[literal.at.start as usize..literal.at.end as usize])
+        })
+        .collect();
+    let wanted = [
+        (0, Form::Number, "1"),
+        (1, Form::Text, "'x'"),
+        (0, Form::Number, "2"),
+        (1, Form::Text, "'y'"),
+        (2, Form::Text, "'z'"),
+    ];
+    assert_eq!(told, wanted);
+    let placeholders = lexer.tokens().iter().filter(|token| token.kind == Kind::Placeholder).count();
+    assert_eq!(placeholders, 3);
+}
+
+#[test]
+fn tables_and_the_values_that_their_columns_are_compared_with() {
+    let told = |text: &str| -> Vec<String> {
+        let found = verdict(Dialect::Postgres, text.as_bytes());
+        assert!(found.parsed, "{text}: {}", found.why);
+        let mut told: Vec<String> = found
+            .uses
+            .iter()
+            .map(|a_use| {
+                let keys = a_use.keys.iter().map(|key| format!("{}={:?}", key.column, key.placeholders));
+                format!("{}({})", a_use.table, keys.collect::<Vec<_>>().join(" "))
+            })
+            .collect();
+        told.sort();
+        told
+    };
+    let cases: [(&str, &[&str]); 19] = [
+        ("SELECT x FROM t WHERE a = 5 AND b > 6", &["t(a=[0])"]),
+        ("SELECT x FROM t WHERE 5 = a OR b = 6", &["t()"]),
+        ("SELECT x FROM t WHERE NOT a = 5", &["t()"]),
+        ("SELECT x FROM t WHERE a IN (5, 6) AND (b = 7)", &["t(a=[0] b=[1])"]),
+        ("SELECT x FROM t WHERE a = 5::bigint", &["t(a=[0])"]),
+        ("SELECT x FROM t x JOIN u y ON x.a = y.a WHERE x.a = 5", &["t(a=[0])", "u(a=[0])"]),
+        ("SELECT x FROM t, u WHERE t.a = u.b AND u.b = 5", &["t(a=[0])", "u(b=[0])"]),
+        ("SELECT x FROM t LEFT JOIN u ON t.a = u.a WHERE t.a = 5", &["t(a=[0])", "u(a=[0])"]),
+        // The condition of a left join keeps no row of the left side out.
+        ("SELECT x FROM t LEFT JOIN u ON t.a = u.a AND u.a = 5", &["t()", "u(a=[0])"]),
+        ("SELECT x FROM t FULL JOIN u ON t.a = u.a AND t.a = 5", &["t()", "u()"]),
+        ("SELECT x FROM t, u WHERE a = 5", &["t()", "u()"]),
+        ("WITH c AS (SELECT a FROM t WHERE a = 5) SELECT * FROM c", &["t(a=[0])"]),
+        // Within its own query the name is still the table's.
+        ("WITH t AS (SELECT a FROM t) SELECT * FROM t", &["t()"]),
+        ("WITH RECURSIVE t AS (SELECT a FROM u UNION SELECT a FROM t) SELECT * FROM t", &["u()"]),
+        ("SELECT (SELECT max(b) FROM u WHERE u.a = 5) FROM t WHERE t.a = 6", &["t(a=[1])", "u(a=[0])"]),
+        ("UPDATE t SET b = 1 WHERE a = 5", &["t(a=[1])"]),
+        ("UPDATE t SET a = 1 WHERE a = 5", &["t()"]),
+        ("DELETE FROM s.t WHERE a = 5", &["s.t(a=[0])"]),
+        ("INSERT INTO t (b, a) VALUES (1, 2), (3, 4)", &["t(b=[0] a=[1])"]),
+    ];
+    for (text, wanted) in cases {
+        assert_eq!(told(text), wanted, "{text}");
+    }
+}
+
+fn corpus(dialect: Dialect) -> Vec<String> {
+    let text = match dialect {
+        Dialect::Postgres => include_str!("corpus/postgres.jsonl"),
+        Dialect::Tsql => include_str!("corpus/tsql.jsonl"),
+    };
+    let rows = text.lines().map(|line| serde_json::from_str::<Value>(line).expect(line));
+    let texts = rows.map(|row| row["sql"].as_str().expect("sql").to_string());
+    let mut lexer = Lexer::new(dialect);
+    // Two literals in a row may become one, and what is doubtful may become clear.
+    texts
+        .filter(|text| {
+            lexer.read(text.as_bytes());
+            let pairs = lexer.tokens().windows(2);
+            let in_a_row =
+                pairs.filter(|two| two.iter().all(|token| token.kind == Kind::Placeholder)).count();
+            lexer.doubt().is_none() && in_a_row == 0
+        })
+        .collect()
+}
+
+/// What is drawn for each place: of space, case and literal.
+type Drawn = Vec<(u8, u64, u8)>;
+
+/// A statement written anew with other space, case, comments and literals.
+fn written_anew(dialect: Dialect, text: &str, drawn: &Drawn) -> String {
+    let mut lexer = Lexer::new(dialect);
+    lexer.read(text.as_bytes());
+    let mut out = String::new();
+    for (nth, token) in lexer.tokens().iter().enumerate() {
+        let (space, case, literal) = drawn[nth % drawn.len()];
+        out += match space % 7 {
+            0 => "\n",
+            1 => "\t \r\n",
+            2 => " /* DELETE FROM t; ' */ ",
+            3 => " -- ; DROP TABLE t '\n",
+            4 => "/* a /* nested */ \" */",
+            _ => " ",
+        };
+        let bytes = String::from_utf8(lexer.bytes(*token).to_vec()).expect("UTF-8");
+        match token.kind {
+            Kind::Word => {
+                let letters = bytes.chars().enumerate();
+                out.extend(
+                    letters
+                        .map(|(at, c)| if case >> (at % 64) & 1 == 1 { c.to_ascii_uppercase() } else { c }),
+                );
+            }
+            Kind::Placeholder => {
+                out += match (dialect, literal % 8) {
+                    (_, 0) => "42",
+                    (_, 1) => "'x'",
+                    (_, 2) => "'it''s -- no comment /*'",
+                    (_, 3) => "1.5e-3",
+                    (Dialect::Postgres, 4) => "$q$ ; DELETE FROM t $q$",
+                    (Dialect::Postgres, 5) => "E'\\' ; DROP'",
+                    (Dialect::Postgres, 6) => "$17",
+                    (Dialect::Tsql, 4) => "N'; DELETE FROM t'",
+                    (Dialect::Tsql, 5) => "@p1",
+                    (Dialect::Tsql, 6) => "0xAB",
+                    _ => "''",
+                };
+            }
+            Kind::Quoted | Kind::Symbol => out += &bytes,
+        }
+    }
+    out
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn space_case_comments_and_literals_change_neither_shape_nor_verdict(
+        pick in any::<prop::sample::Index>(), tsql in any::<bool>(),
+        drawn in prop::collection::vec(any::<(u8, u64, u8)>(), 1..40),
+    ) {
+        let dialect = if tsql { Dialect::Tsql } else { Dialect::Postgres };
+        let texts = corpus(dialect);
+        let text = &texts[pick.index(texts.len())];
+        let anew = written_anew(dialect, text, &drawn);
+        prop_assert_eq!(shape(dialect, text), shape(dialect, &anew), "{} as {}", anew, text);
+        prop_assert_eq!(verdict(dialect, text.as_bytes()), verdict(dialect, anew.as_bytes()));
+    }
+
+    #[test]
+    fn any_bytes_get_a_verdict(bytes in prop::collection::vec(any::<u8>(), 0..200), tsql in any::<bool>()) {
+        let dialect = if tsql { Dialect::Tsql } else { Dialect::Postgres };
+        let found = verdict(dialect, &bytes);
+        prop_assert!(std::str::from_utf8(&bytes).is_ok() || found.effect != Effect::Read);
+    }
+
+    #[test]
+    fn what_is_read_in_one_piece_stays_no_read_with_a_write_behind_it(
+        parts in prop::collection::vec(prop::sample::select(vec![
+            "SELECT", "1", "a", "FROM", "t", "WHERE", "(", ")", "'", "\"", "--", "/*", "*/", "$$", "$a$", "\\", ",", ";",
+            "=", "IN", "AS", "E'", "[", "]", "\n", " ", "UNION", "CASE", "END", "b.c", "::int", "@x", "N'", "WITH", "*",
+        ]), 0..24),
+        tsql in any::<bool>(),
+    ) {
+        let dialect = if tsql { Dialect::Tsql } else { Dialect::Postgres };
+        let text: String = parts.iter().flat_map(|part| [*part, " "]).collect();
+        if verdict(dialect, text.as_bytes()).effect == Effect::Read {
+            for write in ["\n; DELETE FROM t", "\n;WITH d AS (DELETE FROM t RETURNING 1) SELECT 1", "\n; SELECT cobrar(1)"] {
+                let behind = format!("{text}{write}");
+                prop_assert_ne!(verdict(dialect, behind.as_bytes()).effect, Effect::Read, "{}", behind);
+            }
+        }
+    }
+}
