Put a protocol behind two small traits, and let folders import downwards only

Need: the daemon and all its stages imported one another in a circle, and take-in, relay and send knew only PostgreSQL. Change: the hub holds what a running router keeps; a front and a back are a protocol's two sides, and PostgreSQL is the first; the stages between know no bytes. Several listeners may be served.

--- a/crates/comethitchd/src/main.rs
+++ b/crates/comethitchd/src/main.rs
@@ -1,9 +1,9 @@
 //! The command line.
 
 use argh::FromArgs;
+use comethitchd::memory::clock::Clock;
+use comethitchd::memory::site::Site;
 use comethitchd::service::classify::Classify;
-use comethitchd::service::clock::Clock;
-use comethitchd::service::configuration::Site;
 use comethitchd::service::listen;
 use comethitchd::service::logger::{self, LogForm};
 use log::LevelFilter;
--- a/crates/comethitchd/src/memory/connection.rs
+++ b/crates/comethitchd/src/memory/connection.rs
@@ -23,13 +23,32 @@
     }
 }
 
+/// The code of a host's error.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Code {
+    /// An SQLSTATE.
+    Postgres(String),
+}
+
+impl Code {
+    fn ending(&self) -> Ending {
+        match self {
+            Code::Postgres(code) => match code.as_str() {
+                "25006" | "72000" => Ending::Miss,
+                "53300" => Ending::Full,
+                _ => Ending::Error,
+            },
+        }
+    }
+}
+
 /// Every way in which a connection to a host, or its use for one query, can end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
     /// The value came whole.
     Whole,
-    /// The host answered with this SQLSTATE.
-    Code(String),
+    /// The host answered with an error.
+    Told(Code),
     /// There was no time, descriptor or such host, or no use for it any more once it was up: never sent.
     NotTried,
     /// It was refused, or broke before it could be used.
@@ -53,11 +72,7 @@
     pub fn ending(&self) -> Ending {
         match self {
             ConnectionEnd::Whole => Ending::Answered,
-            ConnectionEnd::Code(code) => match code.as_str() {
-                "25006" | "72000" => Ending::Miss,
-                "53300" => Ending::Full,
-                _ => Ending::Error,
-            },
+            ConnectionEnd::Told(code) => code.ending(),
             ConnectionEnd::NotTried => Ending::Moot,
             ConnectionEnd::NeverUp | ConnectionEnd::Unsent => Ending::NoConnection,
             ConnectionEnd::TooLarge => Ending::Error,
--- a/crates/comethitchd/src/service/daemon.rs
+++ b/crates/comethitchd/src/memory/hub.rs
@@ -2,16 +2,15 @@
 
 use crate::memory::buffer::Room;
 use crate::memory::clients::{Clients, Descriptors, Patience, Permit};
+use crate::memory::clock::Clock;
 use crate::memory::commands::Commands;
+use crate::memory::fields::{self, Fields};
 use crate::memory::flag::Flag;
 use crate::memory::list::List;
 use crate::memory::pool::Pool;
-use crate::service::clock::Clock;
-use crate::service::configuration::Site;
-use crate::service::logger::{self, Fields};
-use crate::service::tally::{Tally, count_kind};
-use crate::stages::route::{self, Acts};
-use crate::wire::discovery::Listing;
+use crate::memory::site::Site;
+use crate::memory::tally::{Tally, count_kind};
+use crate::memory::tongue::Back;
 use async_executor::LocalExecutor;
 use comethitch::time::{Span, Time};
 use comethitch::{Ending, Host, Role, Router};
@@ -41,11 +40,13 @@
 /// While less than this part of the clients' descriptors is free, room is made ahead of need.
 const FREE_PART: usize = 8;
 
-pub struct Daemon {
+pub struct Hub {
     pub site: Site,
     pub clock: Clock,
     pub tasks: LocalExecutor<'static>,
     pub router: RefCell<Router>,
+    /// What speaks with hosts.
+    pub back: Box<dyn Back>,
     pub commands: RefCell<Commands>,
     pub pool: RefCell<Pool>,
     pub list: RefCell<List>,
@@ -71,21 +72,20 @@
     stood: Cell<(Time, Time)>,
 }
 
-impl Daemon {
-    pub fn start(mut site: Site, clock: Clock) -> Rc<Daemon> {
+impl Hub {
+    /// A hub around a router that has been started; what hosts are known is not told to it yet.
+    pub fn new(site: Site, clock: Clock, router: Router, back: Box<dyn Back>) -> Rc<Hub> {
         let shapes = site.statements.as_ref().map_or(0, |rules| rules.cache.kib as u64) << 10;
         let room = (site.memory_mb << 20).saturating_sub(OTHER_MEMORY + shapes) as usize / 2;
         let desk = site.desk(clock.now()).expect("the rules were checked as they were read");
         let connections = site.sockets - OTHER_DESCRIPTORS;
         let for_clients = connections * CLIENTS_PART.0 / CLIENTS_PART.1;
-        let known = std::mem::take(&mut site.known);
         let timeouts = site.deployment.groups.iter().map(|group| group.timeout);
-        let mut acts = Acts::at(clock.now());
-        let router = Router::start(site.deployment.clone(), site.seed, &mut acts);
-        let daemon = Rc::new(Daemon {
+        Rc::new(Hub {
             clock,
             tasks: LocalExecutor::new(),
             router: RefCell::new(router),
+            back,
             commands: RefCell::default(),
             pool: RefCell::new(Pool::new(site.host_idle)),
             list: RefCell::default(),
@@ -103,65 +103,7 @@
             seen: Cell::new(clock.now()),
             stood: Cell::default(),
             site,
-        });
-        route::carry_out(&daemon, acts);
-        if !known.entries.is_empty() {
-            daemon.listed(&known);
-        }
-        daemon
-    }
-
-    /// Takes in what discovery told.
-    pub fn listed(self: &Rc<Self>, listing: &Listing) {
-        let left = self.list.borrow_mut().take(listing);
-        left.iter().for_each(|host| self.pool.borrow_mut().close(*host));
-        route::decide(self, |router, out| {
-            router.list_starts(listing.whole);
-            for entry in &listing.entries {
-                let (power, started) = (entry.power, entry.started);
-                let (zone, shard, lifecycle) = (entry.zone, entry.shard, entry.lifecycle);
-                router.listed(entry.host, zone, shard, lifecycle, entry.heads, power, started, out);
-            }
-            router.list_ends(out);
-        });
-    }
-
-    /// Takes over what a configuration that was read again changes. A faulty one changes nothing.
-    pub fn reload(&self, read: Result<Site, String>) {
-        let site = match read {
-            Ok(site) => site,
-            Err(why) => return log::error!("the configuration stays as it was: {why}"),
-        };
-        // Whole or not at all: what could fail comes before what changes anything.
-        if let Err(why) = self.reload_rules(&site) {
-            return log::error!("the configuration stays as it was: {why}");
-        }
-        for key in self.site.fixed_keys_changed(&site) {
-            log::warn!("{key} has changed, and is taken over only by a new start");
-        }
-        if self.discovery.borrow().0 != site.discovery {
-            log::info!("discovery is {} from now on", site.discovery);
-            self.list.borrow_mut().since = None;
-            self.discovery.replace((site.discovery, Flag::default())).1.raise();
-        } else {
-            log::info!("the configuration was read again: discovery stays {}", site.discovery);
-        }
-    }
-
-    /// Takes over other rules for statements. They are made for the command groups that this router runs with;
-    /// what was known of shapes is forgotten with the rules that it was found by.
-    fn reload_rules(&self, site: &Site) -> Result<(), String> {
-        let mut desk = self.desk.borrow_mut();
-        if desk.as_ref().map(Desk::rules) == site.statements.as_ref() {
-            return Ok(());
-        }
-        let rules = site.statements.clone();
-        *desk = rules.map(|rules| self.site.desk_by(rules, self.clock.now())).transpose()?;
-        log::info!(
-            "statements are judged by {} rules from now on",
-            if desk.is_some() { "other" } else { "no" }
-        );
-        Ok(())
+        })
     }
 
     /// A host has answered a statement whose shape is known.
@@ -211,12 +153,12 @@
                 ("now_to_hosts", self.for_hosts.used()),
             ];
             told.extend(now.map(|(name, number)| (name.to_string(), number as u64)));
-            logger::tell(Level::Info, module_path!(), "counts", &Fields(told));
+            fields::tell(Level::Info, module_path!(), "counts", &Fields(told));
         }
         if let Some(desk) = &mut *self.desk.borrow_mut() {
             let told = shapes_told(desk);
             if !told.is_empty() {
-                logger::tell(Level::Info, module_path!(), "statements", &Fields(told));
+                fields::tell(Level::Info, module_path!(), "statements", &Fields(told));
             }
         }
         for ((host, ending), number) in self.tally.troubles.take() {
--- /dev/null
+++ b/crates/comethitchd/src/protocols/mod.rs
@@ -0,0 +1,4 @@
+//! What speaks with clients and hosts: for each protocol a front that takes commands in and hands answers out, and
+//! a back that sends them to hosts and asks hosts how they stand.
+
+pub mod postgres;
--- a/crates/comethitchd/src/stages/send.rs
+++ b/crates/comethitchd/src/protocols/postgres/send.rs
@@ -1,12 +1,13 @@
 //! Fourth stage: one dispatch, or one probe, on a connection to a host.
 
 use crate::memory::buffer::{Buffer, Held};
+use crate::memory::clock::{after, duration};
 use crate::memory::commands::Statement;
-use crate::memory::connection::{ConnectionEnd, HostConnection};
-use crate::service::clock::{after, duration};
-use crate::service::daemon::Daemon;
-use crate::service::tally::count;
-use crate::stages::{book, route};
+use crate::memory::connection::{Code, ConnectionEnd, HostConnection};
+use crate::memory::hub::Hub;
+use crate::memory::tally::count;
+use crate::memory::tongue::Outcome;
+use crate::stages::route;
 use crate::wire::postgres::{self, Answer, Form, LARGEST_MESSAGE};
 use crate::wire::standing;
 use async_io::{Async, Timer};
@@ -18,22 +19,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How a dispatch ended, and what its answer told.
-pub struct Outcome {
-    pub end: ConnectionEnd,
-    pub noted: Standing,
-    pub reported: Standing,
-    /// The value, or the error where any answer may come.
-    pub value: Vec<u8>,
-}
-
 impl From<Result<Answer, ConnectionEnd>> for Outcome {
     fn from(ended: Result<Answer, ConnectionEnd>) -> Outcome {
         match ended {
             Ok(answer) => Outcome {
                 noted: standing::noted(&answer),
                 reported: answer.vitals.as_deref().map(standing::reported).unwrap_or_default(),
-                end: answer.code.map_or(ConnectionEnd::Whole, ConnectionEnd::Code),
+                end: answer
+                    .code
+                    .map_or(ConnectionEnd::Whole, |code| ConnectionEnd::Told(Code::Postgres(code))),
                 value: if answer.error.is_empty() { answer.value } else { answer.error },
             },
             Err(end) => {
@@ -45,16 +39,16 @@
 
 /// Starts the command's next dispatch. One that is too late before it begins, as after the router stood still,
 /// is not tried, and its number returned: the host has no part in that.
-pub fn start(daemon: &Rc<Daemon>, id: CommandId, host: Host, time_out: Span) -> Option<u16> {
-    let mut commands = daemon.commands.borrow_mut();
+pub fn start(hub: &Rc<Hub>, id: CommandId, host: Host, time_out: Span) -> Option<u16> {
+    let mut commands = hub.commands.borrow_mut();
     let statement = commands.statement(id)?;
     let nth = commands.next_dispatch(id);
     if time_out == Span(0) {
         commands.dispatched(id, None);
         return Some(nth);
     }
-    let held = daemon.clone();
-    let task = daemon.tasks.spawn(async move {
+    let held = hub.clone();
+    let task = hub.tasks.spawn(async move {
         let query = query(&statement, time_out);
         let may_go = || {
             let router = held.router.borrow();
@@ -66,7 +60,7 @@
             held.answered_after(known, held.clock.now() - began);
         }
         held.met(host, outcome.end.ending(), outcome.noted.role);
-        book::ended(&held, id, nth, outcome);
+        route::ended(&held, id, nth, outcome);
     });
     commands.dispatched(id, Some(task));
     None
@@ -86,9 +80,9 @@
 }
 
 /// Asks a host how it stands. A probe waits no longer than a connection may take.
-pub fn probe(daemon: &Rc<Daemon>, host: Host) {
-    count(&daemon.tally.probes);
-    let held = daemon.clone();
+pub fn probe(hub: &Rc<Hub>, host: Host) {
+    count(&hub.tally.probes);
+    let held = hub.clone();
     let probe = async move {
         let mut query = Vec::new();
         postgres::put_query(&mut query, &[b"SHOW vitals"]);
@@ -104,35 +98,35 @@
         log::debug!("probe of {}: {:?}, {told:?}", held.list.borrow().name(host), outcome.end);
         route::decide(&held, |router, out| router.probed(host, outcome.end.ending(), told, out));
     };
-    daemon.tasks.spawn(probe).detach();
+    hub.tasks.spawn(probe).detach();
 }
 
 /// Asks a host within a time. A new connection can take long to come up, so the module is asked then
 /// whether the query `may_go` still.
 async fn within(
-    daemon: &Daemon, host: Host, query: Vec<u8>, time_out: Span, may_go: impl Fn() -> bool,
+    hub: &Hub, host: Host, query: Vec<u8>, time_out: Span, may_go: impl Fn() -> bool,
 ) -> Result<Answer, ConnectionEnd> {
     let written = Cell::new(false);
     let late = async {
         Timer::after(duration(time_out)).await;
         Err(if written.get() { ConnectionEnd::Silent } else { ConnectionEnd::Unsent })
     };
-    exchange(daemon, host, query, may_go, &written).or(late).await
+    exchange(hub, host, query, may_go, &written).or(late).await
 }
 
 async fn exchange(
-    daemon: &Daemon, host: Host, query: Vec<u8>, may_go: impl Fn() -> bool, written: &Cell<bool>,
+    hub: &Hub, host: Host, query: Vec<u8>, may_go: impl Fn() -> bool, written: &Cell<bool>,
 ) -> Result<Answer, ConnectionEnd> {
-    let dial = daemon.list.borrow().dial(host).ok_or(ConnectionEnd::NotTried)?;
+    let dial = hub.list.borrow().dial(host).ok_or(ConnectionEnd::NotTried)?;
     let mut connection = loop {
-        let kept = daemon.pool.borrow_mut().take(host, dial, daemon.clock.now());
+        let kept = hub.pool.borrow_mut().take(host, dial, hub.clock.now());
         let fresh = kept.is_none();
         let connection = match kept {
             Some(kept) => kept,
-            None => connect(daemon, dial).await?,
+            None => connect(hub, dial).await?,
         };
         if fresh && !may_go() {
-            daemon.pool.borrow_mut().put(host, connection, daemon.clock.now());
+            hub.pool.borrow_mut().put(host, connection, hub.clock.now());
             return Err(ConnectionEnd::NotTried);
         }
         match (&connection.stream).write_all(&query).await {
@@ -144,8 +138,8 @@
     };
     written.set(true);
     drop(query);
-    let form = if daemon.desk.borrow().is_some() { Form::Any } else { Form::OneValue };
-    let (mut answer, mut held) = (Answer::of(form), Held::new(&daemon.room));
+    let form = if hub.desk.borrow().is_some() { Form::Any } else { Form::OneValue };
+    let (mut answer, mut held) = (Answer::of(form), Held::new(&hub.room));
     let ended =
         read(&mut connection, &mut answer, |answer| form == Form::OneValue || held.is(answer.value.len()))
             .await;
@@ -157,9 +151,9 @@
     if !told || ended == Err(ConnectionEnd::Malformed) {
         return Err(ended.err().unwrap_or(ConnectionEnd::Malformed));
     }
-    let listed = daemon.list.borrow().is_at(host, connection.dial);
+    let listed = hub.list.borrow().is_at(host, connection.dial);
     if ended.is_ok() && listed && !answer.in_transaction && connection.buffer.unread().is_empty() {
-        daemon.pool.borrow_mut().put(host, connection, daemon.clock.now());
+        hub.pool.borrow_mut().put(host, connection, hub.clock.now());
     }
     Ok(answer)
 }
@@ -193,30 +187,33 @@
 }
 
 /// Connects and lets the host greet, so that what breaks until then is known never to have run.
-async fn connect(daemon: &Daemon, dial: SocketAddr) -> Result<HostConnection, ConnectionEnd> {
+async fn connect(hub: &Hub, dial: SocketAddr) -> Result<HostConnection, ConnectionEnd> {
     let free = async {
         loop {
-            match daemon.host_descriptor() {
+            match hub.host_descriptor() {
                 Some(permit) => break Ok(permit),
                 None => Timer::after(Duration::from_millis(2)).await,
             };
         }
     };
-    let limit = duration(daemon.site.deployment.connect_timeout);
+    let limit = duration(hub.site.deployment.connect_timeout);
     let permit = free.or(after(limit, Err(ConnectionEnd::NotTried))).await?;
     let open = async {
         let stream = Async::<TcpStream>::connect(dial).await.map_err(|_| ConnectionEnd::NeverUp)?;
-        count(&daemon.tally.connected);
+        count(&hub.tally.connected);
         let _ = stream.get_ref().set_nodelay(true);
         let mut startup = Vec::new();
         postgres::put_startup(&mut startup, "portal", "crm");
         (&stream).write_all(&startup).await.map_err(|_| ConnectionEnd::NeverUp)?;
-        let buffer = Buffer::new(LARGEST_MESSAGE + 1, &daemon.room);
-        let mut connection = HostConnection { stream, buffer, dial, idle_since: daemon.clock.now(), permit };
+        let buffer = Buffer::new(LARGEST_MESSAGE + 1, &hub.room);
+        let mut connection = HostConnection { stream, buffer, dial, idle_since: hub.clock.now(), permit };
         let mut greeting = Answer::default();
         let greeted = read(&mut connection, &mut greeting, |_| true).await;
         // Of the codes in a greeting, one tells more than that no connection came up.
-        let full = greeting.code.map(ConnectionEnd::Code).filter(|end| end.ending() == Ending::Full);
+        let full = greeting
+            .code
+            .map(|code| ConnectionEnd::Told(Code::Postgres(code)))
+            .filter(|end| end.ending() == Ending::Full);
         match full {
             Some(full) => Err(full),
             None if greeted.is_ok() => Ok(connection),
--- a/crates/comethitchd/src/stages/take_in.rs
+++ b/crates/comethitchd/src/protocols/postgres/take_in.rs
@@ -2,13 +2,13 @@
 
 use crate::memory::buffer::Buffer;
 use crate::memory::clients::{Permit, Stage};
+use crate::memory::clock::{after, duration};
 use crate::memory::commands::Reply;
 use crate::memory::flag::{Close, Notice};
-use crate::service::clock::{after, duration};
-use crate::service::daemon::Daemon;
-use crate::service::tally::count;
+use crate::memory::hub::Hub;
+use crate::memory::tally::count;
 use crate::stages::admit::NotTaken;
-use crate::stages::{admit, relay, route};
+use crate::stages::{admit, route};
 use crate::wire::Malformed;
 use crate::wire::postgres::{self, LARGEST_MESSAGE, Opening};
 use async_io::Async;
@@ -26,7 +26,7 @@
 const MOST_REJECTED: u32 = 8;
 
 struct Client {
-    daemon: Rc<Daemon>,
+    hub: Rc<Hub>,
     stream: Async<TcpStream>,
     buffer: Buffer,
     number: u32,
@@ -66,18 +66,18 @@
 
 /// Serves a client. It is entered at once, whenever its task gets to run: a connection that is unknown yet
 /// holds a descriptor all the same.
-pub fn serve(daemon: Rc<Daemon>, stream: Async<TcpStream>, permit: Permit) -> impl Future<Output = ()> {
+pub fn serve(hub: Rc<Hub>, stream: Async<TcpStream>, permit: Permit) -> impl Future<Output = ()> {
     let _ = stream.get_ref().set_nodelay(true);
-    let arrived = daemon.now();
-    let (number, notice) = daemon.clients.enter(arrived);
-    let buffer = Buffer::new(LARGEST_MESSAGE + 1, &daemon.room);
+    let arrived = hub.now();
+    let (number, notice) = hub.clients.enter(arrived);
+    let buffer = Buffer::new(LARGEST_MESSAGE + 1, &hub.room);
     let origin = stream.get_ref().peer_addr().map_or(0, |address| match address.ip() {
         IpAddr::V4(ip) => u64::from(ip.to_bits()),
         // An IPv6 network of 64 bits is one client's.
         IpAddr::V6(ip) => (ip.to_bits() >> 64) as u64,
     });
     let client = Client {
-        daemon,
+        hub,
         stream,
         buffer,
         number,
@@ -93,24 +93,24 @@
 }
 
 async fn run(mut client: Client) {
-    let (daemon, number) = (client.daemon.clone(), client.number);
+    let (hub, number) = (client.hub.clone(), client.number);
     let stop = match client.open().await {
         Ok(()) => client.converse().await,
         Err(stop) => stop,
     };
     match stop {
         Stop::Lost(why) => {
-            count(&daemon.tally.rejected);
+            count(&hub.tally.rejected);
             client.dismiss("08P01", why).await;
         }
         Stop::Io(error) if error.kind() == io::ErrorKind::OutOfMemory => {
-            count(&daemon.tally.at_limit);
+            count(&hub.tally.at_limit);
             client.dismiss("53300", "no room for this now").await;
         }
         Stop::Io(error) => log::debug!("client {number}: {error}"),
         Stop::Left | Stop::Closing => {}
     }
-    daemon.clients.leave(number);
+    hub.clients.leave(number);
 }
 
 impl Client {
@@ -144,9 +144,9 @@
     /// Reads more, while nothing of this client is in hand. How long that may take is looked after by the
     /// sweep of all clients, so that a command costs no timer here.
     async fn more(&mut self) -> Result<(), Stop> {
-        let (empty, clients) = (self.buffer.unread().is_empty(), &self.daemon.clients);
+        let (empty, clients) = (self.buffer.unread().is_empty(), &self.hub.clients);
         let at_rest = empty && self.served;
-        clients.turn(self.number, if at_rest { Stage::Idle } else { Stage::Asking }, self.daemon.clock.now());
+        clients.turn(self.number, if at_rest { Stage::Idle } else { Stage::Asking }, self.hub.clock.now());
         let (stream, notice) = (&self.stream, &self.notice);
         let fill = async { Ok(self.buffer.fill(stream).await?) };
         let close = async {
@@ -160,7 +160,7 @@
             Err(Stop::Closing) if !self.hang_up() => return Ok(()),
             read => read?,
         };
-        self.arrived = self.daemon.arrival();
+        self.arrived = self.hub.arrival();
         Ok(())
     }
 
@@ -168,7 +168,7 @@
     /// with bytes unread, the connection would be reset, and the client might never read its error.
     async fn dismiss(&mut self, code: &'static str, why: &'static str) {
         log::debug!("client {}: {why}", self.number);
-        self.daemon.clients.turn(self.number, Stage::Ending, self.daemon.clock.now());
+        self.hub.clients.turn(self.number, Stage::Ending, self.hub.clock.now());
         let notice = self.notice.clone();
         let told = async {
             let mut out = Vec::new();
@@ -178,7 +178,7 @@
             self.buffer.consume(self.buffer.unread().len());
             loop {
                 self.stream.readable().await.ok()?;
-                match self.stream.get_ref().read(&mut self.daemon.dropped.borrow_mut()) {
+                match self.stream.get_ref().read(&mut self.hub.dropped.borrow_mut()) {
                     Ok(length) if length > 0 => {}
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                     _ => return None,
@@ -235,38 +235,38 @@
 
     async fn query(&mut self, text: Vec<u8>, mut out: Vec<u8>) -> Result<(), Stop> {
         if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') {
-            let daemon = self.daemon.clone();
-            self.while_here(daemon.ready.raised()).await?;
+            let hub = self.hub.clone();
+            self.while_here(hub.ready.raised()).await?;
             postgres::put_empty(&mut out);
-        } else if let Some(tag) = admit::session_statement(&self.daemon, &text) {
+        } else if let Some(tag) = admit::session_statement(&self.hub, &text) {
             postgres::put_complete(&mut out, tag);
         } else {
-            match admit::admit(&self.daemon, text, self.arrived, self.origin) {
+            match admit::admit(&self.hub, text, self.arrived, self.origin) {
                 // A hard limit: no decision is asked for.
-                Ok(_) if self.daemon.is_full() => {
-                    count(&self.daemon.tally.at_limit);
-                    relay::put_reply(&mut out, Reply::Throttled(None));
+                Ok(_) if self.hub.is_full() => {
+                    count(&self.hub.tally.at_limit);
+                    put_reply(&mut out, Reply::Throttled(None));
                 }
                 Ok(admitted) => {
-                    self.daemon.clients.turn(self.number, Stage::Busy, self.daemon.clock.now());
-                    let (id, reply) = route::take(&self.daemon, admitted);
+                    self.hub.clients.turn(self.number, Stage::Busy, self.hub.clock.now());
+                    let (id, reply) = route::take(&self.hub, admitted);
                     match self.while_here(reply.recv()).await {
                         Ok(Ok(reply)) => {
-                            relay::put_reply(&mut out, reply);
+                            put_reply(&mut out, reply);
                             (self.served, self.rejected) = (true, 0);
                         }
                         _ => {
-                            route::left(&self.daemon, id);
+                            route::left(&self.hub, id);
                             return Err(Stop::Left);
                         }
                     }
                 }
                 Err(NotTaken::Throttled) => {
-                    count(&self.daemon.tally.throttled);
-                    relay::put_reply(&mut out, Reply::Throttled(None));
+                    count(&self.hub.tally.throttled);
+                    put_reply(&mut out, Reply::Throttled(None));
                 }
                 Err(NotTaken::Rejected(rejected)) => {
-                    count(&self.daemon.tally.rejected);
+                    count(&self.hub.tally.rejected);
                     log::debug!("client {}: {}", self.number, rejected.text);
                     self.rejected += 1;
                     if self.rejected >= MOST_REJECTED {
@@ -294,7 +294,7 @@
             };
             match come.or(read).await {
                 Ok(come) => return Ok(come),
-                Err(Ok(length)) if length > 0 => self.arrived = self.daemon.arrival(),
+                Err(Ok(length)) if length > 0 => self.arrived = self.hub.arrival(),
                 Err(_) => return Err(Stop::Left),
             }
         }
@@ -304,6 +304,29 @@
     async fn write(&self, bytes: &[u8]) -> Result<(), Stop> {
         let mut stream = &self.stream;
         let late = Err(io::ErrorKind::TimedOut.into());
-        Ok(stream.write_all(bytes).or(after(duration(self.daemon.longest_timeout), late)).await?)
+        Ok(stream.write_all(bytes).or(after(duration(self.hub.longest_timeout), late)).await?)
+    }
+}
+
+/// The answer as the client reads it, short of ReadyForQuery.
+fn put_reply(out: &mut Vec<u8>, reply: Reply) {
+    match reply {
+        Reply::Value(value) if out.is_empty() => *out = value,
+        Reply::Value(value) => out.extend(value),
+        Reply::FailedBy(error) => out.extend(error),
+        Reply::Throttled(retry_after) => {
+            let advice = retry_after.map(|after| after.0.div_ceil(1_000).to_string());
+            postgres::put_error(
+                out,
+                "ERROR",
+                "53300",
+                "not now; trying again is harmless",
+                advice.as_deref(),
+            );
+        }
+        Reply::Failed => {
+            let text = "failed; nothing is known of its effect";
+            postgres::put_error(out, "ERROR", "40003", text, None);
+        }
     }
 }
--- a/crates/comethitchd/src/service/classify.rs
+++ b/crates/comethitchd/src/service/classify.rs
@@ -1,6 +1,6 @@
 //! `classify`: verdicts for statements, one JSON object a line in and out, in the same order.
 
-use crate::service::configuration::{Site, read_rules, secret};
+use crate::memory::site::{Site, read_rules, secret};
 use argh::FromArgs;
 use comethitch::time::{Span, Time};
 use comethitch::{CommandGroup, Effect as Repeat, Need, Reach};
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -1,17 +1,20 @@
 //! Listens from start to stop.
 
+use crate::memory::clock::{Clock, after, duration};
 use crate::memory::flag::Flag;
-use crate::service::clock::{Clock, after, duration};
-use crate::service::configuration::Site;
-use crate::service::daemon::Daemon;
+use crate::memory::hub::Hub;
+use crate::memory::site::Site;
+use crate::memory::tongue::Front;
+use crate::protocols::postgres::Postgres;
 use crate::service::watch;
-use crate::stages::take_in;
+use crate::stages::learn;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 /// With a list from its configuration a router waits this long for discovery's own, then serves with that.
@@ -37,75 +40,91 @@
         let address = site.listen;
         let listener =
             Async::<TcpListener>::bind(address).map_err(|e| format!("can't listen on {address}: {e}"))?;
-        let daemon = Daemon::start(site, clock);
-        let (held, stop) = (daemon.clone(), Flag::default());
+        let hub = learn::start(site, clock, Box::new(Postgres));
+        let (held, stop) = (hub.clone(), Flag::default());
         let asked = stop.clone();
         // Listened to up to the end: neither signal may end a router that is stopping.
         let heard = async move {
             while let Some(signal) = signals.next().await {
                 match signal {
-                    Ok(Signal::Hup) => held.reload(reread()),
+                    Ok(Signal::Hup) => learn::reload(&held, reread()),
                     _ => asked.raise(),
                 }
             }
         };
-        daemon.tasks.spawn(heard).detach();
-        serve(daemon, listener, stop.raised()).await;
+        hub.tasks.spawn(heard).detach();
+        serve(hub, Rc::new(Postgres), vec![listener], stop.raised()).await;
         Ok(())
     })
 }
 
 /// Serves until `stop` is through, then answers what was taken and what still comes.
-pub async fn serve(daemon: Rc<Daemon>, listener: Async<TcpListener>, stop: impl Future<Output = ()>) {
-    let address = listener.get_ref().local_addr().unwrap_or(daemon.site.listen);
-    // The standard library's own is short for clients that come by the hundred.
-    if let Err(why) = rustix::net::listen(listener.get_ref(), BACKLOG) {
-        log::warn!("no more connections may wait than the system's own limit: {why}");
+pub async fn serve(
+    hub: Rc<Hub>, front: Rc<dyn Front>, listeners: Vec<Async<TcpListener>>, stop: impl Future<Output = ()>,
+) {
+    for listener in &listeners {
+        let address = listener.get_ref().local_addr().unwrap_or(hub.site.listen);
+        // The standard library's own is short for clients that come by the hundred.
+        if let Err(why) = rustix::net::listen(listener.get_ref(), BACKLOG) {
+            log::warn!("no more connections may wait than the system's own limit: {why}");
+        }
+        log::info!("{} listens on {address}", hub.site.name);
     }
-    log::info!("{} listens on {address}", daemon.site.name);
-    daemon.tasks.spawn(watch::follow(daemon.clone())).detach();
-    daemon.tasks.spawn(sweep(daemon.clone())).detach();
-    if !daemon.list.borrow().is_empty() {
-        let held = daemon.clone();
+    hub.tasks.spawn(watch::follow(hub.clone())).detach();
+    hub.tasks.spawn(sweep(hub.clone())).detach();
+    if !hub.list.borrow().is_empty() {
+        let held = hub.clone();
         let first = async move {
             Timer::after(FIRST_LIST).await;
             held.ready.raise();
         };
-        daemon.tasks.spawn(first).detach();
+        hub.tasks.spawn(first).detach();
     }
     let work = async {
-        stop.or(accept(&daemon, &listener)).await;
-        log::info!("asked to stop: {} connections, {} commands", daemon.clients.len(), in_hand(&daemon));
-        after(STILL_COMING, ()).or(accept(&daemon, &listener)).await;
-        drop(listener);
-        daemon.clients.close_all();
+        stop.or(accept_all(&hub, &front, &listeners)).await;
+        log::info!("asked to stop: {} connections, {} commands", hub.clients.len(), in_hand(&hub));
+        after(STILL_COMING, ()).or(accept_all(&hub, &front, &listeners)).await;
+        drop(listeners);
+        hub.clients.close_all();
         let through = async {
-            while !daemon.clients.is_empty() {
+            while !hub.clients.is_empty() {
                 Timer::after(PAUSE).await;
             }
         };
-        through.or(after(duration(daemon.longest_timeout) + LAST_WORDS - STILL_COMING, ())).await;
-        daemon.report();
-        log::info!("stopped with {} commands in hand", in_hand(&daemon));
+        through.or(after(duration(hub.longest_timeout) + LAST_WORDS - STILL_COMING, ())).await;
+        hub.report();
+        log::info!("stopped with {} commands in hand", in_hand(&hub));
     };
-    daemon.tasks.run(work).await;
+    hub.tasks.run(work).await;
+}
+
+fn in_hand(hub: &Hub) -> usize {
+    hub.commands.borrow().len()
 }
 
-fn in_hand(daemon: &Daemon) -> usize {
-    daemon.commands.borrow().len()
+/// Accepts at all listeners for ever.
+async fn accept_all(hub: &Rc<Hub>, front: &Rc<dyn Front>, listeners: &[Async<TcpListener>]) {
+    let mut all: Vec<_> = listeners.iter().map(|listener| Box::pin(accept(hub, front, listener))).collect();
+    poll_fn(|context| {
+        for one in &mut all {
+            let _ = one.as_mut().poll(context);
+        }
+        Poll::Pending
+    })
+    .await
 }
 
 /// Accepts for ever. What waits to be accepted counts as taken, so no more than a moment may pass.
-async fn accept(daemon: &Rc<Daemon>, listener: &Async<TcpListener>) {
+async fn accept(hub: &Rc<Hub>, front: &Rc<dyn Front>, listener: &Async<TcpListener>) {
     let mut incoming = std::pin::pin!(listener.incoming());
     loop {
-        let Some(permit) = daemon.client_descriptor() else {
+        let Some(permit) = hub.client_descriptor() else {
             Timer::after(PAUSE).await;
             continue;
         };
         match incoming.next().await {
             Some(Ok(stream)) => {
-                daemon.tasks.spawn(take_in::serve(daemon.clone(), stream, permit)).detach();
+                hub.tasks.spawn(front.serve(hub.clone(), stream, permit)).detach();
             }
             failed => {
                 let why = failed.and_then(Result::err);
@@ -117,14 +136,14 @@
 }
 
 /// Closes what has been idle too long, and tells now and then what was done.
-async fn sweep(daemon: Rc<Daemon>) {
+async fn sweep(hub: Rc<Hub>) {
     for round in 1.. {
         Timer::after(SWEEP).await;
-        let now = daemon.clock.now();
-        daemon.pool.borrow_mut().sweep(now);
-        daemon.clients.sweep(now);
+        let now = hub.clock.now();
+        hub.pool.borrow_mut().sweep(now);
+        hub.clients.sweep(now);
         if round % SWEEPS_TOLD == 0 {
-            daemon.report();
+            hub.report();
         }
     }
 }
--- a/crates/comethitchd/src/service/logger.rs
+++ b/crates/comethitchd/src/service/logger.rs
@@ -1,7 +1,6 @@
 //! The log: a line each on standard error, as text or as JSON, with times of RFC 3339 in UTC.
 
-use log::kv::{Key, Source, ToValue, Value, VisitSource};
-use log::{Level, LevelFilter, Record};
+use log::LevelFilter;
 use logforth::append::Stderr;
 use logforth::bridge::log::LogBridge;
 use logforth::filter::FilterResult;
@@ -59,25 +58,3 @@
         log::set_max_level(level);
     }
 }
-
-/// Fields whose names are known only as they are told.
-pub struct Fields(pub Vec<(String, u64)>);
-
-impl Source for Fields {
-    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), log::kv::Error> {
-        self.0
-            .iter()
-            .try_for_each(|(name, number)| visitor.visit_pair(Key::from_str(name), number.to_value()))
-    }
-
-    fn get(&self, key: Key<'_>) -> Option<Value<'_>> {
-        self.0.iter().find(|(name, _)| name == key.as_str()).map(|(_, number)| number.to_value())
-    }
-}
-
-/// Logs a line with such fields.
-pub fn tell(level: Level, target: &str, message: &str, fields: &Fields) {
-    let arguments = format_args!("{message}");
-    log::logger()
-        .log(&Record::builder().args(arguments).level(level).target(target).key_values(fields).build());
-}
--- a/crates/comethitchd/src/service/mod.rs
+++ b/crates/comethitchd/src/service/mod.rs
@@ -1,10 +1,6 @@
-//! Start and stop: configuration, log, clock, discovery's watch, and listening until a signal.
+//! Start and stop: the log, discovery's watch, listening until a signal, and the tools.
 
 pub mod classify;
-pub mod clock;
-pub mod configuration;
-pub mod daemon;
 pub mod listen;
 pub mod logger;
-pub mod tally;
 pub mod watch;
--- a/crates/comethitchd/src/service/watch.rs
+++ b/crates/comethitchd/src/service/watch.rs
@@ -1,8 +1,9 @@
 //! Follows discovery's list.
 
 use crate::memory::buffer::{Buffer, Room};
-use crate::service::clock::after;
-use crate::service::daemon::Daemon;
+use crate::memory::clock::after;
+use crate::memory::hub::Hub;
+use crate::stages::learn;
 use crate::wire::discovery;
 use crate::wire::http::{self, Body};
 use async_io::Async;
@@ -24,11 +25,11 @@
 const LARGEST_READ: usize = 64 * 1024;
 const LARGEST_LINE: usize = 8 << 20;
 
-pub async fn follow(daemon: Rc<Daemon>) {
+pub async fn follow(hub: Rc<Hub>) {
     let mut told = false;
     loop {
-        let (address, moved) = daemon.discovery.borrow().clone();
-        let held = daemon.list.borrow().since;
+        let (address, moved) = hub.discovery.borrow().clone();
+        let held = hub.list.borrow().since;
         let path = match held {
             Some(since) => format!("/api/targets?follow=1&since={since}"),
             None => "/api/targets".into(),
@@ -37,7 +38,7 @@
             moved.raised().await;
             Err("another one is followed now".into())
         };
-        match watch(&daemon, address, &path).or(left).await {
+        match watch(&hub, address, &path).or(left).await {
             // The whole list is held now, or what a watch tells came to its end.
             Ok(()) => told = false,
             // Said once: an agent that is down for long fills no log.
@@ -48,20 +49,19 @@
             Err(_) => {}
         }
         // A list that was just told is followed at once.
-        let pause =
-            if held.is_none() && daemon.list.borrow().since.is_some() { Duration::ZERO } else { AGAIN };
+        let pause = if held.is_none() && hub.list.borrow().since.is_some() { Duration::ZERO } else { AGAIN };
         after(pause, ()).or(moved.raised()).await;
     }
 }
 
 /// One request, and what it tells up to the end of its answer.
-async fn watch(daemon: &Rc<Daemon>, address: SocketAddr, path: &str) -> Result<(), String> {
-    let mut lines = pin!(lines(address, path, &daemon.room).await?);
+async fn watch(hub: &Rc<Hub>, address: SocketAddr, path: &str) -> Result<(), String> {
+    let mut lines = pin!(lines(address, path, &hub.room).await?);
     while let Some(line) = lines.try_next().await? {
         if line.trim_ascii().is_empty() {
             continue;
         }
-        let listing = discovery::listing(&line, &daemon.site.zones)?;
+        let listing = discovery::listing(&line, &hub.site.zones)?;
         for entry in &listing.entries {
             let (name, dial, lifecycle) = (&entry.name, entry.dial, entry.lifecycle);
             let heads = if entry.heads { ", primary" } else { "" };
@@ -71,8 +71,8 @@
                 entry.shard
             );
         }
-        daemon.listed(&listing);
-        daemon.ready.raise();
+        learn::listed(hub, &listing);
+        hub.ready.raise();
     }
     Ok(())
 }
--- a/crates/comethitchd/src/stages/admit.rs
+++ b/crates/comethitchd/src/stages/admit.rs
@@ -1,7 +1,7 @@
 //! Second stage: what a statement's comment says becomes what the module is told.
 
 use crate::memory::commands::Statement;
-use crate::service::daemon::Daemon;
+use crate::memory::hub::Hub;
 use crate::wire::statement::{self, Fields};
 use comethitch::Shard;
 use comethitch::time::{Span, Time};
@@ -49,17 +49,17 @@
 const LONGEST_WAIT_MS: u64 = 24 * 60 * 60 * 1000;
 
 /// Admits a statement: by its comment alone, or, where an operator's rules are on, by its text besides.
-pub fn admit(daemon: &Daemon, text: Vec<u8>, arrived: Time, client: u64) -> Result<Admitted, NotTaken> {
-    match &mut *daemon.desk.borrow_mut() {
-        None => Ok(by_comment(daemon, text, arrived)?),
-        Some(desk) => by_text(daemon, desk, text, arrived, client),
+pub fn admit(hub: &Hub, text: Vec<u8>, arrived: Time, client: u64) -> Result<Admitted, NotTaken> {
+    match &mut *hub.desk.borrow_mut() {
+        None => Ok(by_comment(hub, text, arrived)?),
+        Some(desk) => by_text(hub, desk, text, arrived, client),
     }
 }
 
-fn by_comment(daemon: &Daemon, text: Vec<u8>, arrived: Time) -> Result<Admitted, Rejected> {
+fn by_comment(hub: &Hub, text: Vec<u8>, arrived: Time) -> Result<Admitted, Rejected> {
     let comment = statement::comment(&text).map_err(|text| rejected("42601", text))?;
-    let group = group_named(daemon, comment.group)?;
-    checked(daemon, comment.id, comment.wait_ms)?;
+    let group = group_named(hub, comment.group)?;
+    checked(hub, comment.id, comment.wait_ms)?;
     Ok(Admitted {
         group,
         shard: comment.shard,
@@ -72,7 +72,7 @@
 
 /// What the comment leaves out, the rules supply; what it tells must not be less strict than the text.
 fn by_text(
-    daemon: &Daemon, desk: &mut Desk, text: Vec<u8>, arrived: Time, client: u64,
+    hub: &Hub, desk: &mut Desk, text: Vec<u8>, arrived: Time, client: u64,
 ) -> Result<Admitted, NotTaken> {
     let fields = match statement::fields(&text) {
         Ok(fields) => fields,
@@ -90,11 +90,11 @@
             return Err(rejected("42601", why).into());
         }
     };
-    let group = fields.group.map(|name| group_named(daemon, name)).transpose()?;
-    let name = fields.id.map_or_else(|| daemon.commands.borrow_mut().own_name(), String::from);
-    checked(daemon, &name, wait_ms)?;
+    let group = fields.group.map(|name| group_named(hub, name)).transpose()?;
+    let name = fields.id.map_or_else(|| hub.commands.borrow_mut().own_name(), String::from);
+    checked(hub, &name, wait_ms)?;
     let told = Told { group, shard: fields.shard };
-    let passed = desk.admit(&text, told, client, &|| daemon.clock.now()).map_err(|turned| match turned {
+    let passed = desk.admit(&text, told, client, &|| hub.clock.now()).map_err(|turned| match turned {
         Turned::Refused(refusal) => NotTaken::Rejected(rejected(refusal.code(), refusal.to_string())),
         Turned::Throttled => NotTaken::Throttled,
     })?;
@@ -113,13 +113,13 @@
     })
 }
 
-fn group_named(daemon: &Daemon, name: &str) -> Result<usize, Rejected> {
-    let group = daemon.site.groups.iter().position(|known| known == name);
+fn group_named(hub: &Hub, name: &str) -> Result<usize, Rejected> {
+    let group = hub.site.groups.iter().position(|known| known == name);
     group.ok_or_else(|| rejected("22023", format!("unknown command group {name:?}")))
 }
 
-fn checked(daemon: &Daemon, id: &str, wait_ms: u64) -> Result<(), Rejected> {
-    if daemon.commands.borrow().is_open(id) {
+fn checked(hub: &Hub, id: &str, wait_ms: u64) -> Result<(), Rejected> {
+    if hub.commands.borrow().is_open(id) {
         return Err(rejected("42710", format!("a command of the id {id} is in hand")));
     }
     if wait_ms > LONGEST_WAIT_MS {
@@ -129,9 +129,9 @@
 }
 
 /// The tag that answers a statement about the session alone, which has no effect here.
-pub fn session_statement(daemon: &Daemon, text: &[u8]) -> Option<&'static str> {
+pub fn session_statement(hub: &Hub, text: &[u8]) -> Option<&'static str> {
     // Where any statement may come, one that goes on behind a semicolon is looked at whole.
-    if daemon.desk.borrow().is_some() && several(text) {
+    if hub.desk.borrow().is_some() && several(text) {
         return None;
     }
     let word = text.trim_ascii_start().split(|b| !b.is_ascii_alphabetic()).next().unwrap_or_default();
--- a/crates/comethitchd/src/stages/mod.rs
+++ b/crates/comethitchd/src/stages/mod.rs
@@ -1,8 +1,8 @@
-//! The way of a command: it is taken in, admitted, routed, sent, relayed and booked.
+//! The way of a command, whatever protocol it came by: admitted, routed, answered and booked. A protocol takes it
+//! in before, and sends it in between.
 
 pub mod admit;
 pub mod book;
+pub mod learn;
 pub mod relay;
 pub mod route;
-pub mod send;
-pub mod take_in;
--- a/crates/comethitchd/src/stages/route.rs
+++ b/crates/comethitchd/src/stages/route.rs
@@ -1,16 +1,17 @@
 //! Third stage: calls into the module, and its acts, which are carried out once the call has returned.
 
+use crate::memory::clock::duration;
 use crate::memory::commands::Reply;
 use crate::memory::connection::ConnectionEnd;
-use crate::service::clock::duration;
-use crate::service::daemon::Daemon;
-use crate::service::tally::count;
+use crate::memory::hub::Hub;
+use crate::memory::tally::count;
+use crate::memory::tongue::Outcome;
 use crate::stages::admit::Admitted;
-use crate::stages::{book, relay, send};
+use crate::stages::{book, relay};
 use async_channel::Receiver;
 use async_io::Timer;
 use comethitch::time::{Span, Time};
-use comethitch::{CommandId, Host, Outlet, Router};
+use comethitch::{CommandId, Host, Outlet, Router, Standing};
 use std::rc::Rc;
 
 enum Act {
@@ -72,58 +73,70 @@
 }
 
 /// Calls into the module, then does what it wants done.
-pub fn decide(daemon: &Rc<Daemon>, call: impl FnOnce(&mut Router, &mut Acts)) {
-    let mut acts = Acts::at(daemon.now());
-    call(&mut daemon.router.borrow_mut(), &mut acts);
-    carry_out(daemon, acts);
+pub fn decide(hub: &Rc<Hub>, call: impl FnOnce(&mut Router, &mut Acts)) {
+    let mut acts = Acts::at(hub.now());
+    call(&mut hub.router.borrow_mut(), &mut acts);
+    carry_out(hub, acts);
 }
 
-pub fn carry_out(daemon: &Rc<Daemon>, acts: Acts) {
-    let mut ended = Vec::new();
+pub fn carry_out(hub: &Rc<Hub>, acts: Acts) {
+    let mut at_once = Vec::new();
     for act in acts.queue {
         match act {
             Act::Dispatch(id, host, time_out) => {
-                let late = send::start(daemon, id, host, time_out);
-                ended.extend(late.map(|nth| (id, nth, ConnectionEnd::NotTried)));
+                let late = hub.back.dispatch(hub, id, host, time_out);
+                at_once.extend(late.map(|nth| (id, nth, ConnectionEnd::NotTried)));
             }
             Act::Cancel(id, nth) => {
                 // Dropping the task closes its connection.
-                let task = daemon.commands.borrow_mut().take_dispatch(id, nth);
-                ended.extend(task.map(|_| (id, nth, ConnectionEnd::GivenUp)));
+                let task = hub.commands.borrow_mut().take_dispatch(id, nth);
+                at_once.extend(task.map(|_| (id, nth, ConnectionEnd::GivenUp)));
             }
-            Act::Final(id, reply) => relay::answer(daemon, id, reply),
-            Act::Probe(host) => send::probe(daemon, host),
+            Act::Final(id, reply) => relay::answer(hub, id, reply),
+            Act::Probe(host) => hub.back.probe(hub, host),
             Act::CloseIdle(host) => {
                 log::warn!(
                     "failover: {} is not taken for the primary any more",
-                    daemon.list.borrow().name(host)
+                    hub.list.borrow().name(host)
                 );
-                daemon.pool.borrow_mut().close(host);
+                hub.pool.borrow_mut().close(host);
             }
-            Act::Wake(after) => wake(daemon, after),
+            Act::Wake(after) => wake(hub, after),
         }
     }
-    for (id, nth, end) in ended {
-        book::ended(daemon, id, nth, Err(end).into());
+    for (id, nth, end) in at_once {
+        let (noted, reported) = (Standing::default(), Standing::default());
+        ended(hub, id, nth, Outcome { end, noted, reported, value: Vec::new() });
     }
 }
 
-fn wake(daemon: &Rc<Daemon>, after: Span) {
-    daemon.beat.set(after);
-    let sleeper = daemon.clone();
+/// A dispatch has ended: it is booked, and the module told.
+pub fn ended(hub: &Rc<Hub>, id: CommandId, nth: u16, outcome: Outcome) {
+    let Outcome { end, noted, reported, value } = outcome;
+    let over = book::ended(hub, id, nth, &end, value);
+    decide(hub, |router, out| {
+        if let Some(handle) = router.handle(id) {
+            handle.dispatch_ended(router, nth, end.ending(), over, noted, reported, out);
+        }
+    });
+}
+
+fn wake(hub: &Rc<Hub>, after: Span) {
+    hub.beat.set(after);
+    let sleeper = hub.clone();
     let woken = async move {
         Timer::after(duration(after)).await;
         decide(&sleeper, |router, out| router.woken(out));
     };
-    daemon.tasks.spawn(woken).detach();
+    hub.tasks.spawn(woken).detach();
 }
 
 /// Hands a command to the module; its final answer comes through the channel.
-pub fn take(daemon: &Rc<Daemon>, admitted: Admitted) -> (CommandId, Receiver<Reply>) {
-    count(&daemon.tally.taken);
+pub fn take(hub: &Rc<Hub>, admitted: Admitted) -> (CommandId, Receiver<Reply>) {
+    count(&hub.tally.taken);
     let Admitted { statement, group, shard, session, after, expiry } = admitted;
-    let (id, reply) = daemon.commands.borrow_mut().enter(statement);
-    decide(daemon, |router, out| {
+    let (id, reply) = hub.commands.borrow_mut().enter(statement);
+    decide(hub, |router, out| {
         let (since_write, left) = (after.map(|after| out.now() - after), expiry - out.now());
         router.take(id, group, shard, session, since_write, left, out);
     });
@@ -131,10 +144,10 @@
 }
 
 /// The client has gone: nothing is owed any more.
-pub fn left(daemon: &Rc<Daemon>, id: CommandId) {
-    count(&daemon.tally.left);
-    daemon.commands.borrow_mut().abandon(id);
-    decide(daemon, |router, out| {
+pub fn left(hub: &Rc<Hub>, id: CommandId) {
+    count(&hub.tally.left);
+    hub.commands.borrow_mut().abandon(id);
+    decide(hub, |router, out| {
         if let Some(handle) = router.handle(id) {
             handle.left(router, out);
         }
--- a/crates/comethitchd/tests/statements.rs
+++ b/crates/comethitchd/tests/statements.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use comethitchd::service::configuration::{Site, read_rules};
+use comethitchd::memory::site::{Site, read_rules};
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::Write;
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -3,13 +3,15 @@
 #![allow(dead_code)]
 
 use async_io::Async;
-use comethitchd::service::clock::Clock;
-use comethitchd::service::configuration::Site;
-use comethitchd::service::daemon::Daemon;
+use comethitchd::memory::clock::Clock;
+use comethitchd::memory::site::Site;
+use comethitchd::protocols::postgres::Postgres;
 use comethitchd::service::listen;
+use comethitchd::stages::learn;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{JoinHandle, spawn};
@@ -281,7 +283,8 @@
                 None => site,
             };
             let listener = Async::new(listener).expect("a listener");
-            async_io::block_on(listen::serve(Daemon::start(site, Clock::start()), listener, async {
+            let hub = learn::start(site, Clock::start(), Box::new(Postgres));
+            async_io::block_on(listen::serve(hub, Rc::new(Postgres), vec![listener], async {
                 let _ = stopped.recv().await;
             }));
         });
--- a/crates/comethitchd/tests/wire.rs
+++ b/crates/comethitchd/tests/wire.rs
@@ -6,9 +6,9 @@
 use comethitch::time::Time;
 use comethitch::{Ending, Lifecycle, Role};
 use comethitchd::memory::buffer::{Buffer, Room};
-use comethitchd::memory::connection::ConnectionEnd;
+use comethitchd::memory::connection::{Code, ConnectionEnd};
 use comethitchd::memory::list::List;
-use comethitchd::service::configuration::Site;
+use comethitchd::memory::site::Site;
 use comethitchd::wire::http::{self, Body};
 use comethitchd::wire::postgres::{self, Answer, LARGEST_MESSAGE, Opening, host_message, message};
 use comethitchd::wire::{Malformed, discovery, standing, statement};
@@ -206,7 +206,7 @@
 
 #[test]
 fn every_end_of_a_connection_has_its_outcome() {
-    let code = |code: &str| ConnectionEnd::Code(code.into());
+    let code = |code: &str| ConnectionEnd::Told(Code::Postgres(code.into()));
     let table = [
         (ConnectionEnd::Whole, Ending::Answered, false),
         (code("25006"), Ending::Miss, true),
