Speak TDS with clients and hosts, where the operator's file asks for it

Need: clients and hosts of some installations speak TDS. Change: a front that takes batches and calls of sp_executesql, keeps prepared statements itself so that any host can run them, and acknowledges an attention once; a back that logs in, makes the session as new between uses, tells tokens apart as they come and probes by a configured query; deploy/tds.json with its schema. An error on which drivers try again by themselves is not passed on for what may have run.

--- a/crates/comethitch-statement/src/classify.rs
+++ b/crates/comethitch-statement/src/classify.rs
@@ -171,6 +171,61 @@
     }
 }
 
+/// Whether a batch in T-SQL only sets options of the session, as drivers do when they begin: `SET NOCOUNT ON`, one
+/// or several, with semicolons or without.
+///
+/// ```
+/// use comethitch_statement::{Dialect, Lexer, classify::only_settings};
+/// let mut lexer = Lexer::new(Dialect::Tsql);
+/// lexer.read(b"SET NOCOUNT ON set textsize 2147483647; SET TRANSACTION ISOLATION LEVEL READ COMMITTED");
+/// assert!(only_settings(&lexer));
+/// lexer.read(b"SET NOCOUNT ON DELETE FROM t");
+/// assert!(!only_settings(&lexer));
+/// ```
+pub fn only_settings(lexer: &Lexer) -> bool {
+    const LEVELS: [&[&str]; 5] = [
+        &["read", "committed"],
+        &["read", "uncommitted"],
+        &["repeatable", "read"],
+        &["serializable"],
+        &["snapshot"],
+    ];
+    const ISOLATION: [&str; 3] = ["transaction", "isolation", "level"];
+    /// Options that decide which rows or indexes a statement touches belong to one connection's work.
+    const KEPT: [&str; 2] = ["identity_insert", "implicit_transactions"];
+    if lexer.doubt().is_some() || lexer.tokens().is_empty() {
+        return false;
+    }
+    let words: Vec<&str> = lexer
+        .tokens()
+        .iter()
+        .map(|token| match token.kind {
+            Kind::Placeholder => "?",
+            _ => std::str::from_utf8(lexer.bytes(*token)).unwrap_or_default(),
+        })
+        .collect();
+    let mut rest = &words[..];
+    while let Some((first, behind)) = rest.split_first() {
+        rest = match (*first, behind) {
+            (";", behind) => behind,
+            ("set", behind) if behind.starts_with(&ISOLATION) => {
+                let behind = &behind[ISOLATION.len()..];
+                match LEVELS.iter().find(|level| behind.starts_with(level)) {
+                    Some(level) => &behind[level.len()..],
+                    None => return false,
+                }
+            }
+            ("set", [option, "on" | "off" | "?", behind @ ..])
+                if option.bytes().all(|b| b.is_ascii_lowercase() || b == b'_') && !KEPT.contains(option) =>
+            {
+                behind
+            }
+            _ => return false,
+        };
+    }
+    true
+}
+
 /// A word's text; empty for any other token.
 fn word(lexer: &Lexer, token: Token) -> &str {
     let is_word = token.kind == Kind::Word;
--- a/crates/comethitch-tds/src/request.rs
+++ b/crates/comethitch-tds/src/request.rs
@@ -3,6 +3,7 @@
 use crate::read::{Broken, Reader, Unread};
 use crate::text;
 use crate::types::{Type, Value};
+use std::ops::Range;
 
 /// The most parameters of a call, as servers have it.
 const MOST_PARAMETERS: usize = 2100;
@@ -135,6 +136,8 @@
     pub by_reference: bool,
     pub kind: Type,
     pub value: Value,
+    /// Where it stands in the message.
+    pub at: Range<usize>,
 }
 
 /// A call of a procedure.
@@ -185,12 +188,14 @@
             if parameters.len() == MOST_PARAMETERS {
                 return Err(Unread::Broken("a call of too many parameters"));
             }
+            let from = headers.length + reader.at();
             let name =
                 text::decoded(reader.b_varchar()?).ok_or(Broken("a parameter's name that is no UTF-16"))?;
             let status = reader.u8()?;
             let kind = Type::read(reader)?;
             let value = kind.told(kind.value(reader)?);
-            parameters.push(Parameter { name, by_reference: status & 1 != 0, kind, value });
+            let at = from..headers.length + reader.at();
+            parameters.push(Parameter { name, by_reference: status & 1 != 0, kind, value, at });
         }
         Ok(Call { headers, procedure, parameters, more })
     }
@@ -208,16 +213,42 @@
         }
     }
 
+    /// The declarations of the statement's parameters, where the call carries them.
+    pub fn declarations(&self) -> Option<&str> {
+        let parameter = match self.procedure {
+            Procedure::Known(Known::ExecuteSql | Known::Prepare | Known::PrepareExecute) => {
+                self.parameters.get(1)?
+            }
+            _ => return None,
+        };
+        match &parameter.value {
+            Value::Text(text) => Some(text),
+            _ => None,
+        }
+    }
+
     /// The parameters of the statement itself, by name without the sign before it.
     pub fn arguments(&self) -> impl Iterator<Item = (&str, &Value)> {
-        let first = match self.procedure {
+        let own = self.parameters.iter().skip(self.first_argument());
+        own.map(|parameter| (parameter.name.trim_start_matches('@'), &parameter.value))
+    }
+
+    /// The bytes of the statement's own parameters, as they came in `payload`.
+    pub fn raw_arguments<'a>(&self, payload: &'a [u8]) -> &'a [u8] {
+        let own = self.parameters.get(self.first_argument()..).unwrap_or_default();
+        match (own.first(), own.last()) {
+            (Some(first), Some(last)) => payload.get(first.at.start..last.at.end).unwrap_or_default(),
+            _ => &[],
+        }
+    }
+
+    fn first_argument(&self) -> usize {
+        match self.procedure {
             Procedure::Known(Known::ExecuteSql) => 2,
             Procedure::Known(Known::PrepareExecute) => 3,
             Procedure::Known(Known::Execute) => 1,
             _ => 0,
-        };
-        let own = self.parameters.iter().skip(first);
-        own.map(|parameter| (parameter.name.trim_start_matches('@'), &parameter.value))
+        }
     }
 }
 
@@ -271,6 +302,12 @@
         self
     }
 
+    /// Parameters as they came in another message.
+    pub fn raw(self, bytes: &[u8]) -> CallWriter<'a> {
+        self.0.extend_from_slice(bytes);
+        self
+    }
+
     /// An integer that is given back.
     pub fn out(self, name: &str) -> CallWriter<'a> {
         text::put_b(self.0, name);
@@ -278,3 +315,27 @@
         self
     }
 }
+
+/// The names of declared parameters in order, without the sign before them: `@a int, @b decimal(9, 2) output`.
+///
+/// ```
+/// let names = comethitch_tds::request::declared("@a int, @B decimal(9, 2) output");
+/// assert_eq!(names, ["a", "b"]);
+/// ```
+pub fn declared(declarations: &str) -> Vec<String> {
+    let (mut depth, mut names, mut begins) = (0_usize, Vec::new(), true);
+    for (at, c) in declarations.char_indices() {
+        match c {
+            '(' => depth += 1,
+            ')' => depth = depth.saturating_sub(1),
+            ',' if depth == 0 => begins = true,
+            '@' if begins => {
+                let name = declarations[at + 1..].split(|c: char| c.is_whitespace() || c == ',').next();
+                names.push(name.unwrap_or_default().to_lowercase());
+                begins = false;
+            }
+            _ => {}
+        }
+    }
+    names
+}
--- a/crates/comethitch-tds/src/write.rs
+++ b/crates/comethitch-tds/src/write.rs
@@ -131,3 +131,19 @@
         }
     }
 }
+
+pub fn put_return_status(out: &mut Vec<u8>, status: i32) {
+    out.push(code::RETURN_STATUS);
+    out.extend(status.to_le_bytes());
+}
+
+/// An integer that a call gives back.
+pub fn put_return_value(out: &mut Vec<u8>, ordinal: u16, name: &str, value: i32) {
+    out.push(code::RETURN_VALUE);
+    out.extend(ordinal.to_le_bytes());
+    text::put_b(out, name);
+    out.push(1);
+    out.extend([0; 4 + 2]);
+    out.extend([kind::INTN, 4, 4]);
+    out.extend(value.to_le_bytes());
+}
--- a/crates/comethitchd/src/bin/comethitch.rs
+++ b/crates/comethitchd/src/bin/comethitch.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use comethitch_statement::Rules;
+use comethitchd::protocols::tds::ways::Ways;
 use comethitchd::service::classify::Classify;
 use std::process::ExitCode;
 
@@ -23,7 +24,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "schema")]
 struct Schema {
-    /// which file: statements
+    /// which file: statements or tds
     #[argh(positional)]
     file: String,
 }
@@ -32,7 +33,8 @@
     fn run(self) -> Result<(), String> {
         let schema = match self.file.as_str() {
             "statements" => schemars::schema_for!(Rules),
-            other => return Err(format!("there is a schema of statements, none of {other:?}")),
+            "tds" => schemars::schema_for!(Ways),
+            other => return Err(format!("there are schemas of statements and tds, none of {other:?}")),
         };
         let text = serde_json::to_string_pretty(&schema).map_err(|e| e.to_string())?;
         println!("{text}");
--- a/crates/comethitchd/src/main.rs
+++ b/crates/comethitchd/src/main.rs
@@ -3,8 +3,9 @@
 use argh::FromArgs;
 use comethitchd::memory::clock::Clock;
 use comethitchd::memory::site::Site;
+use comethitchd::protocols::tds::ways::Ways;
 use comethitchd::service::classify::Classify;
-use comethitchd::service::listen;
+use comethitchd::service::listen::{self, Tongue};
 use comethitchd::service::logger::{self, LogForm};
 use log::LevelFilter;
 use std::path::PathBuf;
@@ -36,6 +37,9 @@
     /// the rules by which statements are judged by their text; without it, comments alone count
     #[argh(option)]
     statements: Option<PathBuf>,
+    /// the ways of TDS, as in deploy/tds.json; without it, PostgreSQL's protocol is spoken
+    #[argh(option)]
+    tds: Option<PathBuf>,
     /// what to log: error, warn, info, debug or trace; info if not given
     #[argh(option, default = "LevelFilter::Info")]
     log: LevelFilter,
@@ -54,6 +58,9 @@
     /// the rules by which statements are judged by their text, to be checked too
     #[argh(option)]
     statements: Option<PathBuf>,
+    /// the ways of TDS, to be checked too
+    #[argh(option)]
+    tds: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -71,16 +78,26 @@
     }
 }
 
+fn tongue(tds: &Option<PathBuf>, site: &Site) -> Result<Tongue, String> {
+    match tds {
+        Some(path) => Tongue::tds(Ways::load(path)?, site),
+        None => Ok(Tongue::postgres()),
+    }
+}
+
 fn carry_out(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(serve) => {
             let clock = Clock::start();
             logger::start(serve.log, serve.log_form);
             let (path, rules) = (serve.configuration, serve.statements);
-            listen::run(load(&path, &rules)?, clock, move || load(&path, &rules))
+            let site = load(&path, &rules)?;
+            let tongue = tongue(&serve.tds, &site)?;
+            listen::run(site, clock, tongue, move || load(&path, &rules))
         }
         Command::Check(check) => {
             let site = load(&check.configuration, &check.statements)?;
+            tongue(&check.tds, &site)?;
             let (groups, hosts) = (site.groups.len(), site.known.entries.len());
             println!(
                 "{} would listen on {}: {groups} command groups, {hosts} hosts known",
--- a/crates/comethitchd/src/memory/connection.rs
+++ b/crates/comethitchd/src/memory/connection.rs
@@ -12,9 +12,20 @@
     pub buffer: Buffer,
     pub dial: SocketAddr,
     pub idle_since: Time,
+    /// What its protocol keeps of it.
+    pub kept: Kept,
     pub permit: Permit,
 }
 
+/// What a protocol keeps of a connection from one use to the next.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// The size of packets that was settled, where there are packets.
+    pub packet: usize,
+    /// It was used before: the session must be made as new.
+    pub used: bool,
+}
+
 impl HostConnection {
     /// Whether nothing has come while it was idle: the end, an error or a stray message make it useless.
     pub fn is_quiet(&self) -> bool {
@@ -28,6 +39,8 @@
 pub enum Code {
     /// An SQLSTATE.
     Postgres(String),
+    /// The number and class of an error of TDS, and whether the answer held anything before it.
+    Tds { number: i32, class: u8, first: bool },
 }
 
 impl Code {
@@ -38,6 +51,14 @@
                 "53300" => Ending::Full,
                 _ => Ending::Error,
             },
+            // The database is read-only, or this replica takes no such commands. Behind another statement of
+            // the batch it would say nothing of that one.
+            Code::Tds { number: 3906 | 3908 | 976 | 978 | 979 | 982 | 983, first: true, .. } => Ending::Miss,
+            // Out of room before anything was begun.
+            Code::Tds { number: 10_928 | 10_929 | 17_809 | 49_918..=49_920, first: true, .. } => Ending::Full,
+            // The connection ends with such an error.
+            Code::Tds { class: 20.., .. } => Ending::Reset,
+            Code::Tds { .. } => Ending::Error,
         }
     }
 }
--- a/crates/comethitchd/src/protocols/line.rs
+++ b/crates/comethitchd/src/protocols/line.rs
@@ -121,7 +121,12 @@
     /// Reads more, while nothing of this client is in hand. How long that may take is looked after by the
     /// sweep of all clients, so that a command costs no timer here.
     pub async fn more(&mut self) -> Result<(), Stop> {
-        let (empty, clients) = (self.buffer.unread().is_empty(), &self.hub.clients);
+        self.more_of(true).await
+    }
+
+    /// The same, where `between` tells that nothing of a message was taken out of the buffer.
+    pub async fn more_of(&mut self, between: bool) -> Result<(), Stop> {
+        let (empty, clients) = (between && self.buffer.unread().is_empty(), &self.hub.clients);
         let at_rest = empty && self.served;
         clients.turn(self.number, if at_rest { Stage::Idle } else { Stage::Asking }, self.hub.clock.now());
         let (stream, notice) = (&self.stream, &self.notice);
--- a/crates/comethitchd/src/protocols/mod.rs
+++ b/crates/comethitchd/src/protocols/mod.rs
@@ -3,3 +3,4 @@
 
 mod line;
 pub mod postgres;
+pub mod tds;
--- a/crates/comethitchd/src/protocols/postgres/send.rs
+++ b/crates/comethitchd/src/protocols/postgres/send.rs
@@ -3,7 +3,7 @@
 use crate::memory::buffer::{Buffer, Held};
 use crate::memory::clock::{after, duration};
 use crate::memory::commands::Statement;
-use crate::memory::connection::{Code, ConnectionEnd, HostConnection};
+use crate::memory::connection::{Code, ConnectionEnd, HostConnection, Kept};
 use crate::memory::hub::Hub;
 use crate::memory::tally::count;
 use crate::memory::tongue::Outcome;
@@ -206,7 +206,14 @@
         postgres::put_startup(&mut startup, "portal", "crm");
         (&stream).write_all(&startup).await.map_err(|_| ConnectionEnd::NeverUp)?;
         let buffer = Buffer::new(LARGEST_MESSAGE + 1, &hub.room);
-        let mut connection = HostConnection { stream, buffer, dial, idle_since: hub.clock.now(), permit };
+        let mut connection = HostConnection {
+            stream,
+            buffer,
+            dial,
+            idle_since: hub.clock.now(),
+            kept: Kept::default(),
+            permit,
+        };
         let mut greeting = Answer::default();
         let greeted = read(&mut connection, &mut greeting, |_| true).await;
         // Of the codes in a greeting, one tells more than that no connection came up.
--- /dev/null
+++ b/crates/comethitchd/src/protocols/tds/send.rs
@@ -0,0 +1,274 @@
+//! One dispatch, or one probe, on a connection to a host.
+
+use super::answer::{Answer, LARGEST_ANSWER};
+use super::ways::Ways;
+use crate::memory::buffer::{Buffer, Held};
+use crate::memory::clock::{after, duration};
+use crate::memory::connection::{ConnectionEnd, HostConnection, Kept};
+use crate::memory::hub::Hub;
+use crate::memory::tally::count;
+use crate::memory::tongue::Outcome;
+use crate::stages::route;
+use async_io::{Async, Timer};
+use comethitch::time::{Span, Time};
+use comethitch::{CommandId, Ending, Host, Role, Standing};
+use comethitch_tds::login::{Encryption, Login, Prelogin, VERSION};
+use comethitch_tds::packet::{Assembly, FIRST_SIZE, Kind, LARGEST_SIZE, put_message, put_parts, status};
+use comethitch_tds::request::Batch;
+use comethitch_tds::types::Value;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// While no descriptor is free, a connection waits this long before it looks again.
+const PAUSE: Duration = Duration::from_millis(2);
+/// A host's PRELOGIN is not longer than this.
+const LARGEST_PRELOGIN: usize = 4096;
+
+/// Starts the command's next dispatch; its number, if it is too late before it begins.
+pub fn start(hub: &Rc<Hub>, ways: &Rc<Ways>, id: CommandId, host: Host, time_out: Span) -> Option<u16> {
+    let mut commands = hub.commands.borrow_mut();
+    let statement = commands.statement(id)?;
+    let nth = commands.next_dispatch(id);
+    if time_out == Span(0) {
+        commands.dispatched(id, None);
+        return Some(nth);
+    }
+    let (held, ways) = (hub.clone(), ways.clone());
+    let task = hub.tasks.spawn(async move {
+        let may_go = || {
+            let router = held.router.borrow();
+            router.handle(id).is_some_and(|handle| handle.may_go(&router, nth, held.clock.now()))
+        };
+        let began = held.clock.now();
+        let kind = Kind::of(statement.kind).unwrap_or(Kind::Batch);
+        let outcome = outcome(within(&held, &ways, host, (kind, &statement.text), time_out, may_go).await);
+        if let Some(known) = statement.known.as_ref().filter(|_| outcome.end == ConnectionEnd::Whole) {
+            held.answered_after(known, held.clock.now() - began);
+        }
+        held.met(host, outcome.end.ending(), outcome.noted.role);
+        route::ended(&held, id, nth, outcome);
+    });
+    commands.dispatched(id, Some(task));
+    None
+}
+
+fn outcome(ended: Result<Answer, ConnectionEnd>) -> Outcome {
+    let (end, value) = match ended {
+        Ok(answer) => match answer.error {
+            Some(code) => (ConnectionEnd::Told(code), answer.value),
+            None => (ConnectionEnd::Whole, answer.value),
+        },
+        Err(end) => (end, Vec::new()),
+    };
+    Outcome { end, noted: Standing::default(), reported: Standing::default(), value }
+}
+
+/// Asks a host how it stands. A probe waits no longer than a connection may take.
+pub fn probe(hub: &Rc<Hub>, ways: &Rc<Ways>, host: Host) {
+    count(&hub.tally.probes);
+    let (held, ways) = (hub.clone(), ways.clone());
+    let probe = async move {
+        let mut payload = Vec::new();
+        Batch::put(&mut payload, &ways.probe.sql);
+        let limit = held.site.deployment.connect_timeout;
+        let ended = within(&held, &ways, host, (Kind::Batch, &payload), limit, || true).await;
+        let told = ended.as_ref().ok().and_then(|answer| answer.row.as_ref());
+        let told = told.map(|row| standing(row, &ways.probe.primary)).unwrap_or_default();
+        let mut end = outcome(ended).end;
+        if end == ConnectionEnd::Whole && told.role.is_none() {
+            // Without a role it tells nothing: the query is not what it should be.
+            end = ConnectionEnd::Malformed;
+        }
+        if end != ConnectionEnd::Whole {
+            count(&held.tally.probes_failed);
+        }
+        held.met(host, end.ending(), told.role);
+        log::debug!("probe of {}: {end:?}, {told:?}", held.list.borrow().name(host));
+        route::decide(&held, |router, out| router.probed(host, end.ending(), told, out));
+    };
+    hub.tasks.spawn(probe).detach();
+}
+
+/// What a probe's row says: the role, and the position in milliseconds.
+fn standing((role, position): &(Value, Value), primary: &str) -> Standing {
+    let role = match role {
+        Value::Text(role) => Some(role.trim().eq_ignore_ascii_case(primary)),
+        Value::Integer(role) => Some(role.to_string() == primary),
+        _ => None,
+    };
+    let position = match position {
+        Value::Integer(ms) => u64::try_from(*ms).ok(),
+        Value::Float(ms) => Some(*ms as u64),
+        Value::Text(ms) => ms.trim().parse().ok(),
+        _ => None,
+    };
+    Standing {
+        role: role.map(|primary| if primary { Role::Primary } else { Role::Replica }),
+        // A position may have been rounded up by less than its unit; one of zero is none.
+        position: position.and_then(|ms| ms.checked_sub(1)).map(|ms| Time(ms.saturating_mul(1_000))),
+    }
+}
+
+/// Asks a host within a time. A new connection can take long to come up, so the module is asked then whether the
+/// message `may_go` still.
+async fn within(
+    hub: &Hub, ways: &Ways, host: Host, message: (Kind, &[u8]), time_out: Span, may_go: impl Fn() -> bool,
+) -> Result<Answer, ConnectionEnd> {
+    let written = Cell::new(false);
+    let late = async {
+        Timer::after(duration(time_out)).await;
+        Err(if written.get() { ConnectionEnd::Silent } else { ConnectionEnd::Unsent })
+    };
+    exchange(hub, ways, host, message, may_go, &written).or(late).await
+}
+
+async fn exchange(
+    hub: &Hub, ways: &Ways, host: Host, (kind, payload): (Kind, &[u8]), may_go: impl Fn() -> bool,
+    written: &Cell<bool>,
+) -> Result<Answer, ConnectionEnd> {
+    let dial = hub.list.borrow().dial(host).ok_or(ConnectionEnd::NotTried)?;
+    let mut connection = loop {
+        let kept = hub.pool.borrow_mut().take(host, dial, hub.clock.now());
+        let fresh = kept.is_none();
+        let connection = match kept {
+            Some(kept) => kept,
+            None => connect(hub, ways, dial).await?,
+        };
+        if fresh && !may_go() {
+            hub.pool.borrow_mut().put(host, connection, hub.clock.now());
+            return Err(ConnectionEnd::NotTried);
+        }
+        // What another's command left in the session is gone before this one runs.
+        let first = if connection.kept.used { status::RESET } else { 0 };
+        let mut wire = Vec::with_capacity(payload.len() + payload.len() / 64 + 16);
+        put_parts(&mut wire, kind, connection.kept.packet, payload, first, true);
+        match (&connection.stream).write_all(&wire).await {
+            Ok(()) => break connection,
+            // The host had closed a kept connection: nothing of this has run, another one will do.
+            Err(_) if !fresh => {}
+            Err(_) => return Err(ConnectionEnd::Unsent),
+        }
+    };
+    written.set(true);
+    connection.kept.used = true;
+    let (mut answer, mut held) = (Answer::new(), Held::new(&hub.room));
+    let ended = read(&mut connection, &mut answer, &mut held).await;
+    // An answer whose last token has come stands, whatever becomes of its connection.
+    if !answer.whole() || ended == Err(ConnectionEnd::TooLarge) {
+        return Err(ended.err().unwrap_or(ConnectionEnd::Malformed));
+    }
+    let listed = hub.list.borrow().is_at(host, connection.dial);
+    let fatal =
+        answer.error.as_ref().is_some_and(|code| ConnectionEnd::Told(code.clone()).ending() == Ending::Reset);
+    let quiet = ended.is_ok() && connection.buffer.unread().is_empty();
+    if quiet && listed && !answer.in_transaction && !fatal {
+        hub.pool.borrow_mut().put(host, connection, hub.clock.now());
+    }
+    Ok(answer)
+}
+
+/// Reads up to the answer's end.
+async fn read(
+    connection: &mut HostConnection, answer: &mut Answer, held: &mut Held,
+) -> Result<(), ConnectionEnd> {
+    loop {
+        let taken = answer.take(connection.buffer.unread()).map_err(|_| ConnectionEnd::Malformed)?;
+        connection.buffer.consume(taken);
+        if answer.held() > LARGEST_ANSWER || !held.is(answer.held()) {
+            return Err(ConnectionEnd::TooLarge);
+        }
+        if answer.over() {
+            return Ok(());
+        }
+        match connection.buffer.fill(&connection.stream).await {
+            Ok(0) | Err(_) => return Err(ConnectionEnd::Broken),
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Connects and logs in, so that what breaks until then is known never to have run.
+async fn connect(hub: &Hub, ways: &Ways, dial: SocketAddr) -> Result<HostConnection, ConnectionEnd> {
+    let free = async {
+        loop {
+            match hub.host_descriptor() {
+                Some(permit) => break Ok(permit),
+                None => Timer::after(PAUSE).await,
+            };
+        }
+    };
+    let limit = duration(hub.site.deployment.connect_timeout);
+    let permit = free.or(after(limit, Err(ConnectionEnd::NotTried))).await?;
+    let open = async {
+        let stream = Async::<TcpStream>::connect(dial).await.map_err(|_| ConnectionEnd::NeverUp)?;
+        count(&hub.tally.connected);
+        let _ = stream.get_ref().set_nodelay(true);
+        let buffer = Buffer::new(LARGEST_SIZE + 1, &hub.room);
+        let kept = Kept { packet: FIRST_SIZE, used: false };
+        let idle_since = hub.clock.now();
+        let mut connection = HostConnection { stream, buffer, dial, idle_since, kept, permit };
+        prelogin(&mut connection).await?;
+        log_in(hub, ways, &mut connection).await?;
+        Ok(connection)
+    };
+    open.or(after(limit, Err(ConnectionEnd::NeverUp))).await
+}
+
+async fn prelogin(connection: &mut HostConnection) -> Result<(), ConnectionEnd> {
+    let (mut payload, mut wire) = (Vec::new(), Vec::new());
+    Prelogin::default().put(&mut payload);
+    put_message(&mut wire, Kind::Prelogin, FIRST_SIZE, &payload);
+    (&connection.stream).write_all(&wire).await.map_err(|_| ConnectionEnd::NeverUp)?;
+    let mut message = Assembly::new(LARGEST_PRELOGIN);
+    while !message.over() {
+        if connection.buffer.unread().is_empty() {
+            match connection.buffer.fill(&connection.stream).await {
+                Ok(0) | Err(_) => return Err(ConnectionEnd::NeverUp),
+                Ok(_) => {}
+            }
+        }
+        let taken = message.take(connection.buffer.unread()).map_err(|_| ConnectionEnd::NeverUp)?;
+        connection.buffer.consume(taken);
+    }
+    let told = Prelogin::read(message.payload()).map_err(|_| ConnectionEnd::NeverUp)?;
+    // A host that insists on encryption can't be spoken with.
+    match told.encryption {
+        Encryption::NotSupported | Encryption::Off => Ok(()),
+        Encryption::On | Encryption::Required => Err(ConnectionEnd::NeverUp),
+    }
+}
+
+async fn log_in(hub: &Hub, ways: &Ways, connection: &mut HostConnection) -> Result<(), ConnectionEnd> {
+    let login = Login {
+        version: VERSION,
+        packet_size: ways.packet_size as u32,
+        host: hub.site.name.clone(),
+        user: ways.hosts.user.clone(),
+        password: ways.hosts.password.clone(),
+        application: "comethitch".into(),
+        library: "comethitch".into(),
+        database: ways.hosts.database.clone(),
+        ..Login::default()
+    };
+    let (mut payload, mut wire) = (Vec::new(), Vec::new());
+    login.put(&mut payload);
+    put_message(&mut wire, Kind::Login, FIRST_SIZE, &payload);
+    (&connection.stream).write_all(&wire).await.map_err(|_| ConnectionEnd::NeverUp)?;
+    let (mut answer, mut held) = (Answer::new(), Held::new(&hub.room));
+    let ended = read(connection, &mut answer, &mut held).await;
+    match answer.error.take() {
+        // Of the errors at a login one tells more than that no connection came up.
+        Some(code) => match ConnectionEnd::Told(code) {
+            end if end.ending() == Ending::Full => Err(end),
+            _ => Err(ConnectionEnd::NeverUp),
+        },
+        None if ended.is_ok() && answer.acknowledged => {
+            connection.kept.packet = answer.packet.unwrap_or(FIRST_SIZE).min(LARGEST_SIZE);
+            Ok(())
+        }
+        None => Err(ConnectionEnd::NeverUp),
+    }
+}
--- /dev/null
+++ b/crates/comethitchd/src/protocols/tds/take_in.rs
@@ -0,0 +1,451 @@
+//! A client's connection, from its PRELOGIN to its end.
+
+use super::prepared::Prepared;
+use super::ways::{TRIED_AGAIN, Ways};
+use crate::memory::buffer::Held;
+use crate::memory::clients::{Permit, Stage};
+use crate::memory::commands::Reply;
+use crate::memory::hub::Hub;
+use crate::memory::tally::count;
+use crate::protocols::line::{Line, Stop};
+use crate::stages::admit::{self, Asked, NotTaken};
+use crate::stages::route;
+use async_io::Async;
+use comethitch_statement::classify::only_settings;
+use comethitch_statement::{Dialect, Lexer};
+use comethitch_tds::login::{Encryption, LARGEST_LOGIN, Login, Prelogin, VERSION};
+use comethitch_tds::packet::{
+    Assembly, FIRST_SIZE, HEADER, Kind, LARGEST_SIZE, LEAST_SIZE, put_message, status,
+};
+use comethitch_tds::request::{Batch, Call, CallWriter, Known, Procedure, declared};
+use comethitch_tds::token::{Message, Token, Tokens, code, done};
+use comethitch_tds::types::Value;
+use comethitch_tds::write::{
+    put_change, put_change_bytes, put_done, put_login_ack, put_message as put_error, put_return_status,
+    put_return_value,
+};
+use std::net::TcpStream;
+use std::rc::Rc;
+
+/// A batch or call of more bytes is not taken.
+const LARGEST_REQUEST: usize = 512 * 1024;
+/// The collation that clients are told: Latin, without regard to case.
+const COLLATION: [u8; 5] = [0x09, 0x04, 0xd0, 0x00, 0x34];
+const SERVER: &str = "comethitch";
+
+struct Client {
+    line: Line,
+    ways: Rc<Ways>,
+    /// The size of packets that was settled.
+    packet: usize,
+    prepared: Prepared,
+    lexer: Lexer,
+}
+
+/// What a message asks for.
+enum Request {
+    /// A statement to be judged, and the message that a host gets for it.
+    Command {
+        text: String,
+        arguments: Vec<(String, Option<Vec<u8>>)>,
+        kind: Kind,
+        payload: Vec<u8>,
+        called: Called,
+    },
+    /// Something that is answered here.
+    Here(Vec<u8>),
+    Refused(String, Called),
+}
+
+/// How an answer ends: a batch's, or a call's; one that also prepares gives its handle back.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Called {
+    No,
+    Yes,
+    Preparing(i32),
+}
+
+impl Called {
+    fn done(self) -> u8 {
+        if self == Called::No { code::DONE } else { code::DONE_PROCEDURE }
+    }
+}
+
+/// Serves a client.
+pub fn serve(
+    hub: Rc<Hub>, ways: Rc<Ways>, stream: Async<TcpStream>, permit: Permit,
+) -> impl Future<Output = ()> {
+    let line = Line::new(hub, stream, permit, LARGEST_SIZE + 1);
+    let (prepared, lexer) = (Prepared::new(), Lexer::new(Dialect::Tsql));
+    run(Client { line, ways, packet: FIRST_SIZE, prepared, lexer })
+}
+
+async fn run(mut client: Client) {
+    let stop = match client.open().await {
+        Ok(()) => client.converse().await,
+        Err(stop) => stop,
+    };
+    let (packet, numbers) = (client.packet, client.ways.numbers);
+    let told = |code, why: &'static str| {
+        let number = if code == "53300" { numbers.throttled } else { numbers.refused };
+        let mut tokens = Vec::new();
+        put_fault(&mut tokens, number, 20, why);
+        put_done(&mut tokens, code::DONE, done::ERROR, 0);
+        packets(packet, &tokens)
+    };
+    client.line.end(stop, told).await;
+}
+
+fn packets(size: usize, tokens: &[u8]) -> Vec<u8> {
+    let mut wire = Vec::with_capacity(tokens.len() + tokens.len() / 64 + HEADER);
+    put_message(&mut wire, Kind::Answer, size, tokens);
+    wire
+}
+
+fn put_fault(out: &mut Vec<u8>, number: i32, class: u8, text: &str) {
+    put_error(out, &Message { number, state: 1, class, text: text.into() }, SERVER);
+}
+
+impl Client {
+    async fn open(&mut self) -> Result<(), Stop> {
+        let (kind, _, payload) = self.message(LARGEST_LOGIN).await?;
+        if kind != Kind::Prelogin {
+            return Err(Stop::Lost("a connection begins with a PRELOGIN"));
+        }
+        Prelogin::read(&payload).map_err(|broken| Stop::Lost(broken.0))?;
+        let mut told = Vec::new();
+        let own = Prelogin {
+            version: [16, 0, 0, 0, 0, 0],
+            encryption: Encryption::NotSupported,
+            ..Prelogin::default()
+        };
+        own.put(&mut told);
+        self.line.write(&packets(FIRST_SIZE, &told)).await?;
+        let (kind, _, payload) = self.message(LARGEST_LOGIN).await?;
+        if kind != Kind::Login {
+            return Err(Stop::Lost("a PRELOGIN is followed by a LOGIN7"));
+        }
+        let login = Login::read(&payload).map_err(|broken| Stop::Lost(broken.0))?;
+        let mut tokens = Vec::new();
+        if login.integrated {
+            put_fault(&mut tokens, 18_456, 14, "only logins by name and password are spoken here");
+            put_done(&mut tokens, code::DONE, done::ERROR, 0);
+            self.line.write(&packets(FIRST_SIZE, &tokens)).await?;
+            return Err(Stop::Closing);
+        }
+        // Until the list is held no command could be served.
+        let hub = self.line.hub.clone();
+        self.line.while_here(hub.ready.raised()).await?;
+        let asked = usize::try_from(login.packet_size).unwrap_or(FIRST_SIZE);
+        let size = match asked {
+            0 => FIRST_SIZE,
+            asked => asked.clamp(LEAST_SIZE, self.ways.packet_size),
+        };
+        let database = if login.database.is_empty() { &self.ways.hosts.database } else { &login.database };
+        put_change(&mut tokens, 1, database, "master");
+        put_change_bytes(&mut tokens, 7, &COLLATION, &[]);
+        put_change(&mut tokens, 2, "us_english", "");
+        put_login_ack(&mut tokens, VERSION, SERVER);
+        put_change(&mut tokens, 4, &size.to_string(), &FIRST_SIZE.to_string());
+        put_done(&mut tokens, code::DONE, 0, 0);
+        self.line.write(&packets(FIRST_SIZE, &tokens)).await?;
+        self.packet = size;
+        Ok(())
+    }
+
+    /// The next message whole: its kind, status and payload.
+    async fn message(&mut self, most: usize) -> Result<(Kind, u8, Vec<u8>), Stop> {
+        let (mut message, mut held) = (Assembly::new(most), Held::new(&self.line.hub.room));
+        loop {
+            let taken = message.take(self.line.buffer.unread()).map_err(|broken| Stop::Lost(broken.0))?;
+            self.line.buffer.consume(taken);
+            if !held.is(message.payload().len()) {
+                return Err(Stop::Io(std::io::ErrorKind::OutOfMemory.into()));
+            }
+            if message.over() {
+                break;
+            }
+            // Between two messages the connection is at rest, within one it is not.
+            self.line.more_of(message.is_empty()).await?;
+        }
+        let (kind, status) = (message.kind(), message.status());
+        Ok((kind.unwrap_or(Kind::Batch), status, message.finish()))
+    }
+
+    async fn converse(&mut self) -> Stop {
+        loop {
+            if let Err(stop) = self.turn().await {
+                return stop;
+            }
+        }
+    }
+
+    async fn turn(&mut self) -> Result<(), Stop> {
+        let (kind, status, payload) = self.message(LARGEST_REQUEST).await?;
+        if status & (status::RESET | status::RESET_KEEPING_TRANSACTION) != 0 {
+            self.prepared.clear();
+        }
+        // The client gave the message up while it sent it: nothing of it runs.
+        if status & status::IGNORE != 0 {
+            return Ok(());
+        }
+        let request = match kind {
+            // It crossed the answer: nothing is left to call off.
+            Kind::Attention => return self.acknowledge().await,
+            Kind::Batch => self.batch(payload)?,
+            Kind::Rpc => self.call(payload)?,
+            Kind::Transaction => {
+                let why = "transactions of several statements are not carried: send them as one batch";
+                Request::Refused(why.into(), Called::No)
+            }
+            Kind::BulkLoad => Request::Refused("bulk loads are not carried".into(), Called::No),
+            _ => return Err(Stop::Lost("a message that no client sends now")),
+        };
+        let mut tokens = Vec::new();
+        if status & (status::RESET | status::RESET_KEEPING_TRANSACTION) != 0 {
+            put_change_bytes(&mut tokens, 18, &[], &[]);
+        }
+        match request {
+            Request::Here(own) => tokens.extend(own),
+            Request::Refused(why, called) => self.refuse(&mut tokens, &why, called)?,
+            Request::Command { text, arguments, kind, payload, called } => {
+                if !self.command(&mut tokens, &text, &arguments, kind, payload, called).await? {
+                    return self.acknowledge().await;
+                }
+            }
+        }
+        self.line.write(&packets(self.packet, &tokens)).await
+    }
+
+    /// Tells the client that what it called off is off.
+    async fn acknowledge(&mut self) -> Result<(), Stop> {
+        let mut tokens = Vec::new();
+        put_done(&mut tokens, code::DONE, done::ATTENTION, 0);
+        self.line.write(&packets(self.packet, &tokens)).await
+    }
+
+    fn refuse(&mut self, tokens: &mut Vec<u8>, why: &str, called: Called) -> Result<(), Stop> {
+        put_fault(tokens, self.ways.numbers.refused, 16, why);
+        put_done(tokens, called.done(), done::ERROR, 0);
+        self.line.rejected(why)
+    }
+
+    fn batch(&mut self, payload: Vec<u8>) -> Result<Request, Stop> {
+        let batch = Batch::read(&payload).map_err(|broken| Stop::Lost(broken.0))?;
+        if batch.headers.transaction != 0 {
+            let why = "this connection is in no transaction";
+            return Ok(Request::Refused(why.into(), Called::No));
+        }
+        self.lexer.read(batch.text.as_bytes());
+        let empty = self.lexer.tokens().is_empty() && self.lexer.doubt().is_none();
+        // Options of a session have no effect here: each command finds the session as new.
+        if empty || only_settings(&self.lexer) {
+            let mut tokens = Vec::new();
+            put_done(&mut tokens, code::DONE, 0, 0);
+            return Ok(Request::Here(tokens));
+        }
+        let (text, arguments) = (batch.text, Vec::new());
+        Ok(Request::Command { text, arguments, kind: Kind::Batch, payload, called: Called::No })
+    }
+
+    fn call(&mut self, payload: Vec<u8>) -> Result<Request, Stop> {
+        let call = Call::read(&payload).map_err(|broken| Stop::Lost(broken.0))?;
+        let refused = |why: &str| Ok(Request::Refused(why.into(), Called::Yes));
+        if call.more {
+            return refused("several calls in one message are not carried");
+        }
+        if call.headers.transaction != 0 {
+            return refused("this connection is in no transaction");
+        }
+        let handle = || match call.parameters.first().map(|parameter| &parameter.value) {
+            Some(Value::Integer(handle)) => Some(*handle),
+            _ => None,
+        };
+        match &call.procedure {
+            Procedure::Known(Known::ExecuteSql) => {
+                let Some(text) = call.statement() else {
+                    return refused("sp_executesql without a statement");
+                };
+                let arguments = arguments(&call, call.declarations().unwrap_or_default());
+                let text = text.to_string();
+                Ok(Request::Command { text, arguments, kind: Kind::Rpc, payload, called: Called::Yes })
+            }
+            Procedure::Known(Known::Prepare) => {
+                let Some(text) = call.statement() else { return refused("sp_prepare without a statement") };
+                let Some(handle) = self.prepared.keep(text, call.declarations().unwrap_or_default()) else {
+                    return refused("no room for one more prepared statement");
+                };
+                let mut tokens = Vec::new();
+                put_return_status(&mut tokens, 0);
+                put_return_value(&mut tokens, 0, "@handle", handle);
+                put_done(&mut tokens, code::DONE_PROCEDURE, 0, 0);
+                Ok(Request::Here(tokens))
+            }
+            Procedure::Known(Known::Execute) => {
+                let Some((text, declarations)) = handle().and_then(|handle| self.prepared.get(handle)) else {
+                    return refused("no statement of this handle is prepared");
+                };
+                Ok(executed(&call, &payload, text, declarations, Called::Yes))
+            }
+            Procedure::Known(Known::PrepareExecute) => {
+                let Some(text) = call.statement() else { return refused("sp_prepexec without a statement") };
+                let declarations = call.declarations().unwrap_or_default();
+                let Some(handle) = self.prepared.keep(text, declarations) else {
+                    return refused("no room for one more prepared statement");
+                };
+                Ok(executed(&call, &payload, text, declarations, Called::Preparing(handle)))
+            }
+            Procedure::Known(Known::Unprepare) => {
+                if !handle().is_some_and(|handle| self.prepared.forget(handle)) {
+                    return refused("no statement of this handle is prepared");
+                }
+                let mut tokens = Vec::new();
+                put_return_status(&mut tokens, 0);
+                put_done(&mut tokens, code::DONE_PROCEDURE, 0, 0);
+                Ok(Request::Here(tokens))
+            }
+            Procedure::Known(Known::Cursor) => refused("cursors are not carried"),
+            Procedure::Named(name) => {
+                // What a procedure does its name does not tell: the rules for unknown statements hold.
+                let quoted: Vec<String> =
+                    name.split('.').map(|part| format!("[{}]", part.trim_matches(['[', ']']))).collect();
+                let text = format!("EXEC {}", quoted.join("."));
+                let arguments = Vec::new();
+                Ok(Request::Command { text, arguments, kind: Kind::Rpc, payload, called: Called::Yes })
+            }
+        }
+    }
+
+    /// Has a statement carried out, and writes its answer; false if the client called it off.
+    async fn command(
+        &mut self, tokens: &mut Vec<u8>, text: &str, arguments: &[(String, Option<Vec<u8>>)], kind: Kind,
+        payload: Vec<u8>, called: Called,
+    ) -> Result<bool, Stop> {
+        let (hub, numbers) = (self.line.hub.clone(), self.ways.numbers);
+        let asked =
+            Asked { text: text.as_bytes(), arguments, arrived: self.line.arrived, origin: self.line.origin };
+        let admitted = match admit::admit(&hub, &asked) {
+            Ok(admitted) => admitted,
+            Err(NotTaken::Throttled) => {
+                count(&hub.tally.throttled);
+                put_reply(tokens, Reply::Throttled(None), numbers, called, true);
+                return Ok(true);
+            }
+            Err(NotTaken::Rejected(rejected)) => {
+                self.refuse(tokens, &rejected.text, called)?;
+                return Ok(true);
+            }
+        };
+        // A hard limit: no decision is asked for.
+        if hub.is_full() {
+            count(&hub.tally.at_limit);
+            put_reply(tokens, Reply::Throttled(None), numbers, called, true);
+            return Ok(true);
+        }
+        let repeatable = admitted.known.as_ref().is_some_and(|known| known.verdict.effect.may_repeat());
+        hub.clients.turn(self.line.number, Stage::Busy, hub.clock.now());
+        let (id, reply) = route::take(&hub, admitted, payload, kind.code());
+        let attention = |unread: &[u8]| unread.first() == Some(&Kind::Attention.code());
+        match self.line.unless(reply.recv(), attention).await {
+            Ok(Some(Ok(reply))) => {
+                put_reply(tokens, reply, numbers, called, repeatable);
+                self.line.answered();
+                Ok(true)
+            }
+            Ok(None) => {
+                route::left(&hub, id);
+                // The attention itself is taken off; its acknowledgement is the one answer.
+                self.message(HEADER).await?;
+                self.line.answered();
+                Ok(false)
+            }
+            _ => {
+                route::left(&hub, id);
+                Err(Stop::Left)
+            }
+        }
+    }
+}
+
+/// A prepared statement's execution as a call that any host can take.
+fn executed(call: &Call, payload: &[u8], text: &str, declarations: &str, called: Called) -> Request {
+    let mut own = Vec::new();
+    let writer = CallWriter::known(&mut own, Known::ExecuteSql).text("", text);
+    let raw = call.raw_arguments(payload);
+    // Without declarations there are no parameters either.
+    if !declarations.is_empty() || !raw.is_empty() {
+        writer.text("", declarations).raw(raw);
+    }
+    let arguments = arguments(call, declarations);
+    Request::Command { text: text.into(), arguments, kind: Kind::Rpc, payload: own, called }
+}
+
+/// The values of a statement's parameters: those without a name have the declared ones, in order.
+fn arguments(call: &Call, declarations: &str) -> Vec<(String, Option<Vec<u8>>)> {
+    let declared = declared(declarations);
+    let named = call.arguments().enumerate().map(|(nth, (name, value))| {
+        let name = match name {
+            "" => declared.get(nth).cloned().unwrap_or_default(),
+            name => name.to_lowercase(),
+        };
+        let value = match value {
+            Value::Integer(value) => Some(value.to_string().into_bytes()),
+            Value::Text(value) => Some(value.clone().into_bytes()),
+            _ => None,
+        };
+        (name, value)
+    });
+    named.collect()
+}
+
+/// Writes the one final answer.
+fn put_reply(
+    out: &mut Vec<u8>, reply: Reply, numbers: super::ways::Numbers, called: Called, repeatable: bool,
+) {
+    let fault = |out: &mut Vec<u8>, number, text: &str| {
+        put_fault(out, number, 16, text);
+        put_done(out, called.done(), done::ERROR, 0);
+    };
+    match reply {
+        Reply::Value(value) => match called {
+            Called::Preparing(handle) => put_with_handle(out, &value, handle),
+            _ => out.extend(value),
+        },
+        Reply::Throttled(None) => fault(out, numbers.throttled, "not now; trying again is harmless"),
+        Reply::Throttled(Some(after)) => {
+            let text = format!("not now; trying again after {} ms is harmless", after.0.div_ceil(1_000));
+            fault(out, numbers.throttled, &text);
+        }
+        Reply::Failed => fault(out, numbers.failed, "failed; nothing is known of its effect"),
+        Reply::FailedBy(tokens) => match tried_again(&tokens).filter(|_| !repeatable) {
+            // A driver would send again what may have run.
+            Some(message) => {
+                let text = format!("failed by error {}: {}", message.number, message.text);
+                fault(out, numbers.failed, &text);
+            }
+            None => out.extend(tokens),
+        },
+    }
+}
+
+/// The first error of an answer on which drivers try again by themselves.
+fn tried_again(answer: &[u8]) -> Option<Message> {
+    let (mut tokens, mut at) = (Tokens::new(), 0);
+    while let Ok((token, length)) = tokens.next(&answer[at..]) {
+        at += length;
+        match token {
+            Token::Error(message) if TRIED_AGAIN.contains(&message.number) => return Some(message),
+            _ => {}
+        }
+    }
+    None
+}
+
+/// An answer with the handle of the statement that was prepared with it, before its last token.
+fn put_with_handle(out: &mut Vec<u8>, answer: &[u8], handle: i32) {
+    const DONE: usize = 13;
+    let (before, last) = answer.split_at(answer.len().saturating_sub(DONE));
+    out.extend(before);
+    put_return_value(out, 0, "@handle", handle);
+    out.extend(last);
+}
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -4,15 +4,18 @@
 use crate::memory::flag::Flag;
 use crate::memory::hub::Hub;
 use crate::memory::site::Site;
-use crate::memory::tongue::Front;
+use crate::memory::tongue::{Back, Front};
 use crate::protocols::postgres::Postgres;
+use crate::protocols::tds::Tds;
+use crate::protocols::tds::ways::Ways;
 use crate::service::watch;
 use crate::stages::learn;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
+use comethitch_statement::Dialect;
 use futures_lite::{FutureExt, StreamExt};
 use std::future::{Future, poll_fn};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -30,17 +33,46 @@
 /// How many connections may wait to be accepted.
 const BACKLOG: i32 = 1024;
 
+/// What is spoken with clients and with hosts, and where else clients come.
+pub struct Tongue {
+    pub front: Rc<dyn Front>,
+    pub back: Box<dyn Back>,
+    pub also_listen: Vec<SocketAddr>,
+}
+
+impl Tongue {
+    pub fn postgres() -> Tongue {
+        Tongue { front: Rc::new(Postgres), back: Box::new(Postgres), also_listen: Vec::new() }
+    }
+
+    /// TDS, in the operator's ways. Its statements are judged by their text, so that rules are needed.
+    pub fn tds(ways: Ways, site: &Site) -> Result<Tongue, String> {
+        match &site.statements {
+            None => return Err("TDS needs rules for statements: give --statements".into()),
+            Some(rules) if rules.dialect != Dialect::Tsql => {
+                return Err("the rules for statements are not of the dialect tsql".into());
+            }
+            Some(_) => {}
+        }
+        let also_listen = ways.addresses()?;
+        let tds = Tds(Rc::new(ways));
+        Ok(Tongue { front: Rc::new(tds.clone()), back: Box::new(tds), also_listen })
+    }
+}
+
 /// Serves until SIGTERM or SIGINT; at SIGHUP the configuration is read again.
 pub fn run(
-    site: Site, clock: Clock, reread: impl Fn() -> Result<Site, String> + 'static,
+    site: Site, clock: Clock, tongue: Tongue, reread: impl Fn() -> Result<Site, String> + 'static,
 ) -> Result<(), String> {
     async_io::block_on(async {
         let mut signals =
             Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
-        let address = site.listen;
-        let listener =
-            Async::<TcpListener>::bind(address).map_err(|e| format!("can't listen on {address}: {e}"))?;
-        let hub = learn::start(site, clock, Box::new(Postgres));
+        let bind = |address: &SocketAddr| {
+            Async::<TcpListener>::bind(*address).map_err(|e| format!("can't listen on {address}: {e}"))
+        };
+        let addresses = std::iter::once(&site.listen).chain(&tongue.also_listen);
+        let listeners = addresses.map(bind).collect::<Result<Vec<_>, String>>()?;
+        let hub = learn::start(site, clock, tongue.back);
         let (held, stop) = (hub.clone(), Flag::default());
         let asked = stop.clone();
         // Listened to up to the end: neither signal may end a router that is stopping.
@@ -53,7 +85,7 @@
             }
         };
         hub.tasks.spawn(heard).detach();
-        serve(hub, Rc::new(Postgres), vec![listener], stop.raised()).await;
+        serve(hub, tongue.front, listeners, stop.raised()).await;
         Ok(())
     })
 }
