Stand-ins with one engine and two tongues, and one suite of faults for both protocols

Need: a second protocol must keep every rule that the first keeps. Change: comethitch-standin has scripted hosts and clients of both tongues, and a ledger that is held against what clients were told; 34 scenarios are played with each. Result: the same answers, throttles, failures and dispatches on both, no rule broken; the checker finds each break that is planted in a ledger.

--- /dev/null
+++ b/crates/comethitch-standin/src/client.rs
@@ -0,0 +1,71 @@
+//! A client of either tongue.
+
+use crate::{LONG, Tongue, postgres, tds};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// What a client got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Got {
+    /// The first column of the last row; empty without one.
+    Answered(String),
+    Throttled,
+    /// By its code or number.
+    Failed(String),
+    /// It became no command.
+    Refused(String),
+    /// What was called off is off.
+    CalledOff,
+    /// An answer that could not be read to its end.
+    Spoilt,
+    Closed,
+}
+
+pub struct Client {
+    tongue: Tongue,
+    pub stream: TcpStream,
+}
+
+impl Client {
+    /// Connects and is let in.
+    pub fn connect(tongue: Tongue, address: SocketAddr) -> Client {
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a limit");
+        let _ = stream.set_nodelay(true);
+        match tongue {
+            Tongue::Postgres => postgres::open(&mut stream),
+            Tongue::Tds => tds::open(&mut stream),
+        }
+        .expect("let in");
+        Client { tongue, stream }
+    }
+
+    pub fn send(&mut self, text: &str) {
+        let wire = match self.tongue {
+            Tongue::Postgres => postgres::put(text),
+            Tongue::Tds => tds::put(text),
+        };
+        self.stream.write_all(&wire).expect("a command sent");
+    }
+
+    /// The next answer.
+    pub fn got(&mut self) -> Got {
+        match self.tongue {
+            Tongue::Postgres => postgres::got(&mut self.stream),
+            Tongue::Tds => tds::got(&mut self.stream),
+        }
+    }
+
+    pub fn ask(&mut self, text: &str) -> Got {
+        self.send(text);
+        self.got()
+    }
+
+    /// Whether nothing has come beyond the answers read: a second answer would be here.
+    pub fn is_quiet(&mut self) -> bool {
+        self.stream.set_nonblocking(true).expect("set");
+        let nothing = self.stream.read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        self.stream.set_nonblocking(false).expect("set");
+        nothing
+    }
+}
--- /dev/null
+++ b/crates/comethitch-standin/src/tds.rs
@@ -0,0 +1,239 @@
+//! TDS 7.4, as a host and as a client speak it.
+
+use crate::client::Got;
+use crate::engine::{Act, Engine, Step};
+use comethitch_tds::login::{Login, Prelogin, VERSION};
+use comethitch_tds::packet::{Assembly, FIRST_SIZE, Kind, put_message, status};
+use comethitch_tds::request::{Batch, Call};
+use comethitch_tds::token::{Message, Token, Tokens, code, done};
+use comethitch_tds::types::Value;
+use comethitch_tds::write::{
+    Cell, Column, put_change, put_change_bytes, put_columns, put_done, put_login_ack,
+    put_message as put_error, put_return_status, put_row,
+};
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// The query that asks a host how it stands.
+pub const PROBE: &str = "SELECT rol, posicion_ms FROM estado.replica";
+/// The sizes that a host settles on, whatever is asked for: small, so that answers come in several packets.
+const SIZE: usize = 512;
+
+fn broken(why: comethitch_tds::Broken) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why.0)
+}
+
+fn read(stream: &mut TcpStream) -> io::Result<(Kind, u8, Vec<u8>)> {
+    let mut message = Assembly::new(4 << 20);
+    while !message.over() {
+        let mut byte = [0; 1];
+        stream.read_exact(&mut byte)?;
+        message.take(&byte).map_err(broken)?;
+    }
+    let (kind, status) = (message.kind(), message.status());
+    Ok((kind.unwrap_or(Kind::Batch), status, message.finish()))
+}
+
+fn write(stream: &mut TcpStream, kind: Kind, size: usize, payload: &[u8]) -> io::Result<()> {
+    let mut wire = Vec::new();
+    put_message(&mut wire, kind, size, payload);
+    stream.write_all(&wire)
+}
+
+fn rows(value: &str, many: usize) -> Vec<u8> {
+    let columns = [("data", Column::LongText)];
+    let mut tokens = Vec::new();
+    put_columns(&mut tokens, &columns);
+    (0..many).for_each(|_| put_row(&mut tokens, &columns, &[Cell::Text(value.into())]));
+    tokens
+}
+
+fn error(number: i32, class: u8) -> Vec<u8> {
+    let mut tokens = Vec::new();
+    put_error(&mut tokens, &Message { number, state: 1, class, text: "no".into() }, "standin");
+    put_done(&mut tokens, code::DONE, done::ERROR, 0);
+    tokens
+}
+
+pub(crate) fn serve(mut stream: TcpStream, engine: &Engine) -> io::Result<()> {
+    let (_, _, payload) = read(&mut stream)?;
+    Prelogin::read(&payload).map_err(broken)?;
+    let mut told = Vec::new();
+    Prelogin { version: [16, 0, 0, 0, 0, 0], ..Prelogin::default() }.put(&mut told);
+    write(&mut stream, Kind::Answer, FIRST_SIZE, &told)?;
+    let (_, _, payload) = read(&mut stream)?;
+    Login::read(&payload).map_err(broken)?;
+    let mut tokens = Vec::new();
+    put_change(&mut tokens, 1, "crm", "master");
+    put_login_ack(&mut tokens, VERSION, "standin");
+    put_change(&mut tokens, 4, &SIZE.to_string(), "4096");
+    put_done(&mut tokens, code::DONE, 0, 0);
+    write(&mut stream, Kind::Answer, FIRST_SIZE, &tokens)?;
+    let mut used = false;
+    loop {
+        let (kind, status, payload) = read(&mut stream)?;
+        let (text, call) = match kind {
+            Kind::Rpc => {
+                let call = Call::read(&payload).map_err(broken)?;
+                (call.statement().unwrap_or("EXEC").to_string(), true)
+            }
+            _ => (Batch::read(&payload).map_err(broken)?.text, false),
+        };
+        let mut tokens = Vec::new();
+        if status & status::RESET != 0 {
+            put_change_bytes(&mut tokens, 18, &[], &[]);
+        } else if used {
+            // A session that was used is to be made as new: a command without that is turned away.
+            write(&mut stream, Kind::Answer, SIZE, &error(50_999, 16))?;
+            continue;
+        }
+        used = true;
+        if text == PROBE {
+            if engine.is_down() {
+                return Ok(());
+            }
+            let columns = [("rol", Column::Text), ("posicion_ms", Column::Integer)];
+            let role = if engine.is_primary() { "PRIMARY" } else { "SECONDARY" };
+            put_columns(&mut tokens, &columns);
+            put_row(
+                &mut tokens,
+                &columns,
+                &[Cell::Text(role.into()), Cell::Integer(engine.position_ms() as i64)],
+            );
+            put_done(&mut tokens, code::DONE, done::COUNT, 1);
+            write(&mut stream, Kind::Answer, SIZE, &tokens)?;
+            continue;
+        }
+        let (step, key) = match engine.met(&text) {
+            Act::Step(step, key) => (step, key),
+            Act::Miss => {
+                write(&mut stream, Kind::Answer, SIZE, &[tokens, error(3906, 16)].concat())?;
+                continue;
+            }
+            Act::Close => return Ok(()),
+        };
+        let mut answer = tokens.clone();
+        answer.extend(rows(&key, 1));
+        let end = |answer: &mut Vec<u8>| match call {
+            true => {
+                put_done(answer, code::DONE_IN_PROCEDURE, done::MORE | done::COUNT, 1);
+                put_return_status(answer, 0);
+                put_done(answer, code::DONE_PROCEDURE, 0, 0);
+            }
+            false => put_done(answer, code::DONE, done::COUNT, 1),
+        };
+        end(&mut answer);
+        let mut whole = Vec::new();
+        put_message(&mut whole, Kind::Answer, SIZE, &answer);
+        match step {
+            Step::Answer | Step::AnswerAfter(_) => stream.write_all(&whole)?,
+            Step::Trickle => {
+                for byte in whole {
+                    stream.write_all(&[byte])?;
+                    std::thread::sleep(Duration::from_micros(300));
+                }
+            }
+            Step::Twice => {
+                end(&mut answer);
+                write(&mut stream, Kind::Answer, SIZE, &answer)?;
+            }
+            Step::Cut => {
+                stream.write_all(&whole[..whole.len() / 2])?;
+                return Ok(());
+            }
+            Step::Spoil => write(&mut stream, Kind::Answer, SIZE, &[0x42; 9])?,
+            Step::Refuse => write(&mut stream, Kind::Answer, SIZE, &[tokens, error(10_928, 16)].concat())?,
+            Step::Fault => write(&mut stream, Kind::Answer, SIZE, &[tokens, error(50_000, 16)].concat())?,
+            Step::Transient => write(&mut stream, Kind::Answer, SIZE, &[tokens, error(40_501, 16)].concat())?,
+            Step::Huge => {
+                tokens.extend(rows(&"x".repeat(50 << 10), 20));
+                end(&mut tokens);
+                write(&mut stream, Kind::Answer, SIZE, &tokens)?;
+            }
+            Step::ResetBefore | Step::ResetAfter => return Ok(()),
+            Step::Hang | Step::HangAfter => {
+                let _ = stream.read(&mut [0]);
+                return Ok(());
+            }
+        }
+    }
+}
+
+pub(crate) fn open(stream: &mut TcpStream) -> io::Result<()> {
+    let mut payload = Vec::new();
+    Prelogin::default().put(&mut payload);
+    write(stream, Kind::Prelogin, FIRST_SIZE, &payload)?;
+    read(stream)?;
+    payload.clear();
+    Login {
+        version: VERSION,
+        packet_size: 4096,
+        user: "portal".into(),
+        database: "crm".into(),
+        ..Login::default()
+    }
+    .put(&mut payload);
+    write(stream, Kind::Login, FIRST_SIZE, &payload)?;
+    let (_, _, answer) = read(stream)?;
+    let mut tokens = Tokens::new();
+    let (mut at, mut acknowledged) = (0, false);
+    while !tokens.over() {
+        let (token, length) = tokens.next(&answer[at..]).map_err(|_| io::ErrorKind::InvalidData)?;
+        acknowledged |= matches!(token, Token::LoginAck { .. });
+        at += length;
+    }
+    if acknowledged { Ok(()) } else { Err(io::ErrorKind::PermissionDenied.into()) }
+}
+
+pub(crate) fn put(text: &str) -> Vec<u8> {
+    let (mut payload, mut wire) = (Vec::new(), Vec::new());
+    Batch::put(&mut payload, text);
+    put_message(&mut wire, Kind::Batch, 4096, &payload);
+    wire
+}
+
+/// The attention that calls off what is in hand.
+pub fn attention() -> Vec<u8> {
+    let mut wire = Vec::new();
+    put_message(&mut wire, Kind::Attention, FIRST_SIZE, b"");
+    wire
+}
+
+/// A call as a message.
+pub fn call(payload: &[u8]) -> Vec<u8> {
+    let mut wire = Vec::new();
+    put_message(&mut wire, Kind::Rpc, 4096, payload);
+    wire
+}
+
+/// The next answer, and the integers that it gives back.
+pub(crate) fn got(stream: &mut TcpStream) -> Got {
+    let Ok((Kind::Answer, _, answer)) = read(stream) else { return Got::Closed };
+    let (mut tokens, mut at, mut got) = (Tokens::new(), 0, Got::Closed);
+    while at < answer.len() {
+        let Ok((token, length)) = tokens.next(&answer[at..]) else { return Got::Spoilt };
+        match token {
+            Token::Row => {
+                let first = tokens
+                    .values(&answer[at..at + length])
+                    .and_then(|row| row.first().map(|(k, v)| k.told(*v)));
+                if let Some(Value::Text(value)) = first {
+                    got = Got::Answered(value);
+                }
+            }
+            Token::Error(message) => {
+                got = match message.number {
+                    49_918 => Got::Throttled,
+                    50_001 => Got::Refused(message.text),
+                    number => Got::Failed(number.to_string()),
+                };
+            }
+            Token::Done { status, .. } if status & done::ATTENTION != 0 => got = Got::CalledOff,
+            Token::Done { .. } if got == Got::Closed => got = Got::Answered(String::new()),
+            _ => {}
+        }
+        at += length;
+    }
+    if tokens.over() { got } else { Got::Spoilt }
+}
--- /dev/null
+++ b/crates/comethitchd/tests/faults.rs
@@ -0,0 +1,387 @@
+//! One suite of faults for both protocols: what clients are told, what ran, and how often it was sent must be the
+//! same, and no rule may break. `cargo test -p comethitchd --test faults -- --nocapture` prints the table that is
+//! kept in docs/measured/faults.md.
+
+mod support;
+
+use comethitch_standin::{Asked, Client, Got, Host, Ledger, Step, Tongue};
+use serde_json::{Value, json};
+use std::time::Duration;
+use support::{Router, entry, site};
+
+/// What came of a scenario.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Counts {
+    answered: usize,
+    throttled: usize,
+    failed: usize,
+    refused: usize,
+    dispatches: usize,
+}
+
+struct Scene {
+    tongue: Tongue,
+    primary: Host,
+    replica: Host,
+    router: Router,
+    ledger: Ledger,
+    asked: Vec<Asked>,
+    keys: usize,
+    /// Dispatches that belong to no scenario.
+    before: usize,
+    broken: Vec<String>,
+}
+
+fn rules(tongue: Tongue) -> Value {
+    json!({
+        "dialect": if tongue == Tongue::Tds { "tsql" } else { "postgres" },
+        "disagreement": "refuse",
+        "commentless": {"wait_ms": 900},
+        "groups": [
+            {"group": "read", "effects": ["read"]},
+            {"group": "write", "effects": ["locking_read", "session", "write", "unknown"]}
+        ],
+        "elsewhere": 0
+    })
+}
+
+impl Scene {
+    fn new(tongue: Tongue) -> Scene {
+        let ledger = Ledger::default();
+        let primary = Host::start("p", tongue, true, &ledger);
+        let replica = Host::start("r", tongue, false, &ledger);
+        let hosts = [entry("p", primary.address, true, "ready"), entry("r", replica.address, false, "ready")];
+        let router = Router::speaking(tongue, site(&hosts, None, 1024), Some(rules(tongue)));
+        Scene {
+            tongue,
+            primary,
+            replica,
+            router,
+            ledger,
+            asked: Vec::new(),
+            keys: 0,
+            before: 0,
+            broken: Vec::new(),
+        }
+    }
+
+    fn client(&self) -> Client {
+        Client::connect(self.tongue, self.router.address)
+    }
+
+    fn write(&mut self) -> String {
+        self.keys += 1;
+        format!("INSERT INTO monedas (lector, n) VALUES ('w{}', 1)", self.keys)
+    }
+
+    fn read(&mut self) -> String {
+        self.keys += 1;
+        format!("SELECT data FROM facts WHERE code = 'r{}'", self.keys)
+    }
+
+    fn ask(&mut self, client: &mut Client, text: String) -> Got {
+        let got = client.ask(&text);
+        self.asked.push(Asked { text, got: vec![got.clone()] });
+        got
+    }
+
+    /// Has reads answered, by the replica too, so that the router knows how both hosts stand and has saved up for
+    /// further dispatches.
+    fn warm(&mut self, client: &mut Client) {
+        for nth in 0..400 {
+            if nth >= 40 && self.replica_ran() > 0 {
+                break;
+            }
+            let text = self.read();
+            self.ask(client, text);
+        }
+        assert!(self.replica_ran() > 0, "the replica takes reads");
+        self.begin();
+    }
+
+    /// What was needed to get here is no part of the scenario.
+    fn begin(&mut self) {
+        self.asked.clear();
+        self.before = self.ledger.dispatches();
+    }
+
+    /// Asks reads until the replica has taken none of ten.
+    fn leave_replica(&mut self, client: &mut Client) {
+        let mut apart = 0;
+        for _ in 0..2_000 {
+            let (before, text) = (self.replica_ran(), self.read());
+            self.ask(client, text);
+            apart = if self.replica_ran() == before { apart + 1 } else { 0 };
+            if apart == 10 {
+                return self.begin();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the replica takes reads all the time");
+    }
+
+    /// Asks writes until one is answered.
+    fn settle(&mut self, client: &mut Client) {
+        for _ in 0..500 {
+            let text = self.write();
+            if matches!(self.ask(client, text), Got::Answered(_)) {
+                return self.begin();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("no write was answered");
+    }
+
+    fn replica_ran(&self) -> usize {
+        use comethitch_standin::ledger::Entry;
+        self.ledger.entries().iter().filter(|e| matches!(e, Entry::Ran { host, .. } if host == "r")).count()
+    }
+}
+
+/// What each scenario does.
+type Play = fn(&mut Scene, &mut Client);
+
+/// A write that a step happens to once, and one behind it.
+fn write_meets(scene: &mut Scene, client: &mut Client, step: Step) {
+    scene.primary.script(once(step));
+    for _ in 0..2 {
+        let text = scene.write();
+        scene.ask(client, text);
+    }
+}
+
+/// The first command that comes from now on meets a step, and the others are answered.
+fn once(step: Step) -> impl Fn(usize, &str) -> Step + Send + Sync + 'static {
+    let met = std::sync::atomic::AtomicBool::new(false);
+    move |_, _| if met.swap(true, std::sync::atomic::Ordering::SeqCst) { Step::Answer } else { step }
+}
+
+/// Reads of which the first meets a step at either host.
+fn read_meets(scene: &mut Scene, client: &mut Client, step: Step) {
+    scene.replica.script(once(step));
+    scene.primary.script(|_, _| Step::Answer);
+    for _ in 0..2 {
+        let text = scene.read();
+        scene.ask(client, text);
+    }
+}
+
+const SCENARIOS: [(&str, Play, [usize; 4]); 34] = [
+    ("writes are answered", |s, c| write_meets(s, c, Step::Answer), [2, 0, 0, 0]),
+    ("a write, reset before it ran", |s, c| write_meets(s, c, Step::ResetBefore), [1, 0, 1, 0]),
+    ("a write, reset after it ran", |s, c| write_meets(s, c, Step::ResetAfter), [1, 0, 1, 0]),
+    ("a write, its answer cut off", |s, c| write_meets(s, c, Step::Cut), [1, 0, 1, 0]),
+    ("a write, its answer spoilt", |s, c| write_meets(s, c, Step::Spoil), [1, 0, 1, 0]),
+    ("a write, hung before it ran", |s, c| write_meets(s, c, Step::Hang), [1, 0, 1, 0]),
+    ("a write, hung after it ran", |s, c| write_meets(s, c, Step::HangAfter), [1, 0, 1, 0]),
+    ("a write, turned away once", |s, c| write_meets(s, c, Step::Refuse), [2, 0, 0, 0]),
+    ("a write, met by an error", |s, c| write_meets(s, c, Step::Fault), [1, 0, 1, 0]),
+    ("a write, met by an error that drivers retry", |s, c| write_meets(s, c, Step::Transient), [1, 0, 1, 0]),
+    ("a write, answered byte by byte", |s, c| write_meets(s, c, Step::Trickle), [2, 0, 0, 0]),
+    ("a write, answered twice", |s, c| write_meets(s, c, Step::Twice), [2, 0, 0, 0]),
+    ("a write, answered beyond all bounds", |s, c| write_meets(s, c, Step::Huge), [1, 0, 1, 0]),
+    (
+        "a write, answered late",
+        |s, c| write_meets(s, c, Step::AnswerAfter(Duration::from_millis(200))),
+        [2, 0, 0, 0],
+    ),
+    ("reads are answered", |s, c| read_meets(s, c, Step::Answer), [2, 0, 0, 0]),
+    ("a read, reset before it ran", |s, c| read_meets(s, c, Step::ResetBefore), [2, 0, 0, 0]),
+    ("a read, reset after it ran", |s, c| read_meets(s, c, Step::ResetAfter), [2, 0, 0, 0]),
+    ("a read, its answer cut off", |s, c| read_meets(s, c, Step::Cut), [2, 0, 0, 0]),
+    ("a read, its answer spoilt", |s, c| read_meets(s, c, Step::Spoil), [2, 0, 0, 0]),
+    ("a read, hung", |s, c| read_meets(s, c, Step::Hang), [1, 1, 0, 0]),
+    ("a read, turned away", |s, c| read_meets(s, c, Step::Refuse), [2, 0, 0, 0]),
+    ("a read, answered byte by byte", |s, c| read_meets(s, c, Step::Trickle), [2, 0, 0, 0]),
+    ("a read, answered twice", |s, c| read_meets(s, c, Step::Twice), [2, 0, 0, 0]),
+    (
+        "a read, the replica dead",
+        |s, c| {
+            s.replica.set_down(true);
+            read_meets(s, c, Step::Answer);
+        },
+        [2, 0, 0, 0],
+    ),
+    (
+        "reads, the replica ten seconds behind",
+        |s, c| {
+            s.replica.set_lag(Duration::from_secs(10));
+            s.leave_replica(c);
+            let before = s.replica_ran();
+            read_meets(s, c, Step::Answer);
+            if s.replica_ran() > before {
+                s.broken.push("a stale read".into());
+            }
+        },
+        [2, 0, 0, 0],
+    ),
+    (
+        "a write, the primary dead",
+        |s, c| {
+            s.primary.set_down(true);
+            let text = s.write();
+            s.ask(c, text);
+            let text = s.write();
+            s.ask(c, text);
+        },
+        [0, 2, 0, 0],
+    ),
+    (
+        "writes through a takeover",
+        |s, c| {
+            write_meets(s, c, Step::Answer);
+            s.primary.set_primary(false);
+            s.replica.set_primary(true);
+            s.settle(c);
+            write_meets(s, c, Step::Answer);
+        },
+        [2, 0, 0, 0],
+    ),
+    (
+        "a write to a primary that has just been demoted",
+        |s, c| {
+            s.primary.set_primary(false);
+            let text = s.write();
+            s.ask(c, text);
+        },
+        [0, 1, 0, 0],
+    ),
+    (
+        "options of a session",
+        |s, c| {
+            s.ask(c, "SET lock_timeout 3".into());
+        },
+        [1, 0, 0, 0],
+    ),
+    (
+        "a transaction of several statements",
+        |s, c| {
+            s.ask(c, "BEGIN TRANSACTION".into());
+            s.ask(c, "COMMIT".into());
+        },
+        [0, 0, 0, 2],
+    ),
+    (
+        "a comment that claims a read for a write",
+        |s, c| {
+            let text = s.write();
+            s.ask(c, format!("/* id=x1,c=read,d=900,cluster=0 */ {text}"));
+        },
+        [0, 0, 0, 1],
+    ),
+    (
+        "a comment that is stricter than its text",
+        |s, c| {
+            let text = s.read();
+            s.ask(c, format!("/* id=x2,c=write,d=900,cluster=0 */ {text}"));
+        },
+        [1, 0, 0, 0],
+    ),
+    (
+        "a large statement",
+        |s, c| {
+            let text = s.write();
+            s.ask(c, text.replace(", 1)", &format!(", '{}')", "luna".repeat(8_000))));
+        },
+        [1, 0, 0, 0],
+    ),
+    (
+        "twenty in turns",
+        |s, c| {
+            for _ in 0..10 {
+                let (write, read) = (s.write(), s.read());
+                s.ask(c, write);
+                s.ask(c, read);
+            }
+        },
+        [20, 0, 0, 0],
+    ),
+];
+
+fn run(tongue: Tongue, play: Play) -> (Counts, Vec<String>) {
+    let mut scene = Scene::new(tongue);
+    let mut client = scene.client();
+    scene.warm(&mut client);
+    play(&mut scene, &mut client);
+    let mut counts = Counts::default();
+    for asked in &scene.asked {
+        match &asked.got[0] {
+            Got::Answered(_) => counts.answered += 1,
+            Got::Throttled => counts.throttled += 1,
+            Got::Failed(_) => counts.failed += 1,
+            Got::Refused(_) => counts.refused += 1,
+            other => panic!("{other:?} to {}", asked.text),
+        }
+    }
+    let quiet = client.is_quiet();
+    drop(client);
+    let asked = std::mem::take(&mut scene.asked);
+    scene.router.wait();
+    counts.dispatches = scene.ledger.dispatches() - scene.before;
+    // Without a row there is no key in the answer.
+    let with_key: Vec<Asked> = asked
+        .into_iter()
+        .filter(|asked| !matches!(&asked.got[0], Got::Answered(value) if value.is_empty()))
+        .collect();
+    let mut broken = scene.ledger.broken(&with_key);
+    broken.append(&mut scene.broken);
+    if !quiet {
+        broken.push("something came behind the last answer".into());
+    }
+    (counts, broken)
+}
+
+#[test]
+fn both_protocols_come_to_the_same_and_no_rule_breaks() {
+    let ran: Vec<[(Counts, Vec<String>); 2]> = std::thread::scope(|scope| {
+        let all: Vec<_> = SCENARIOS
+            .iter()
+            .map(|(_, play, _)| Tongue::BOTH.map(|tongue| scope.spawn(move || run(tongue, *play))))
+            .collect();
+        all.into_iter().map(|both| both.map(|one| one.join().expect("no panic"))).collect()
+    });
+    let mut wrong = Vec::new();
+    println!("| scenario | answered | throttled | failed | refused | dispatches: PostgreSQL | TDS |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for ((name, _, wanted), [postgres, tds]) in SCENARIOS.iter().zip(ran) {
+        for (told, (counts, broken)) in [("PostgreSQL", &postgres), ("TDS", &tds)] {
+            let Counts { answered, throttled, failed, refused, .. } = *counts;
+            if [answered, throttled, failed, refused] != *wanted || !broken.is_empty() {
+                wrong.push(format!("{name}, {told}: {counts:?}, wanted {wanted:?}: {broken:?}"));
+            }
+        }
+        if postgres.0 != tds.0 {
+            wrong.push(format!("{name}: {:?} and {:?}", postgres.0, tds.0));
+        }
+        let Counts { answered, throttled, failed, refused, dispatches } = postgres.0;
+        println!(
+            "| {name} | {answered} | {throttled} | {failed} | {refused} | {dispatches} | {} |",
+            tds.0.dispatches
+        );
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+#[test]
+fn a_checker_that_finds_nothing_is_no_checker() {
+    use comethitch_standin::ledger::Entry;
+    let ledger = Ledger::default();
+    let text = "INSERT INTO t VALUES ('k')".to_string();
+    let ran = |primary| Entry::Ran { host: "h".into(), text: text.clone(), primary };
+    ledger.note(ran(true));
+    ledger.note(ran(false));
+    let asked = |got: Vec<Got>| vec![Asked { text: text.clone(), got }];
+    for (got, wanted) in [
+        (vec![Got::Failed("x".into())], vec!["a write ran at the replica", "ran 2 times"]),
+        (vec![Got::Throttled], vec!["a write ran at the replica", "ran 2 times", "throttled, and it ran"]),
+        (vec![], vec!["a write ran at the replica", "0 final answers", "ran 2 times"]),
+        (
+            vec![Got::Answered("other".into())],
+            vec!["a write ran at the replica", "ran 2 times", "another's answer"],
+        ),
+    ] {
+        let broken = ledger.broken(&asked(got));
+        assert_eq!(broken.len(), wanted.len(), "{broken:?}");
+        assert!(broken.iter().zip(wanted).all(|(broken, wanted)| broken.contains(wanted)), "{broken:?}");
+    }
+}
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -5,13 +5,13 @@
 use async_io::Async;
 use comethitchd::memory::clock::Clock;
 use comethitchd::memory::site::Site;
-use comethitchd::protocols::postgres::Postgres;
+use comethitchd::protocols::tds::ways::Ways;
 use comethitchd::service::listen;
+use comethitchd::service::listen::Tongue;
 use comethitchd::stages::learn;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{JoinHandle, spawn};
@@ -273,6 +273,11 @@
 
     /// With rules by which statements are judged by their text.
     pub fn judging(site: Value, rules: Option<Value>) -> Router {
+        Router::speaking(comethitch_standin::Tongue::Postgres, site, rules)
+    }
+
+    /// The same in either tongue.
+    pub fn speaking(tongue: comethitch_standin::Tongue, site: Value, rules: Option<Value>) -> Router {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -283,8 +288,15 @@
                 None => site,
             };
             let listener = Async::new(listener).expect("a listener");
-            let hub = learn::start(site, Clock::start(), Box::new(Postgres));
-            async_io::block_on(listen::serve(hub, Rc::new(Postgres), vec![listener], async {
+            let tongue = match tongue {
+                comethitch_standin::Tongue::Postgres => Tongue::postgres(),
+                comethitch_standin::Tongue::Tds => {
+                    let ways = Ways::read(include_str!("../../../../deploy/tds.json")).expect("ways");
+                    Tongue::tds(ways, &site).expect("a tongue")
+                }
+            };
+            let hub = learn::start(site, Clock::start(), tongue.back);
+            async_io::block_on(listen::serve(hub, tongue.front, vec![listener], async {
                 let _ = stopped.recv().await;
             }));
         });
