Try TDS with a client library, attentions, prepared statements and keys in parameters

Need: the fault suite alone does not show what is TDS's own. Change: tests of the T-SQL corpus through the router, of tiberius (a client library, for tests only, without its default features) reading every type, of attentions that meet and cross the answer, of prepared statements and sessions made as new, and of a stand-in that tells when a command comes upon another's transaction.

--- a/crates/comethitch-standin/src/engine.rs
+++ b/crates/comethitch-standin/src/engine.rs
@@ -40,6 +40,10 @@
     Transient,
     /// Runs it, and answers with more than is passed on.
     Huge,
+    /// Runs it, and leaves a transaction open.
+    LeaveOpen,
+    /// Runs it, and answers with a row of every type, where the protocol has types.
+    Types,
 }
 
 type Script = Box<dyn Fn(usize, &str) -> Step + Send + Sync>;
@@ -108,6 +112,11 @@
         Act::Step(step, crate::key(text).to_string())
     }
 
+    /// Something came on a connection on which a transaction was left open.
+    pub fn mixed(&self, text: &str) {
+        self.ledger.note(Entry::Mixed { host: self.name.clone(), text: text.into() });
+    }
+
     fn tell(&self, text: &str) {
         let _ = self.told.lock().expect("no panic while it is held").send(text.into());
     }
--- a/crates/comethitch-standin/src/ledger.rs
+++ b/crates/comethitch-standin/src/ledger.rs
@@ -12,6 +12,8 @@
     Came { host: String, text: String },
     /// It ran, at a primary or at a replica.
     Ran { host: String, text: String, primary: bool },
+    /// Something was sent on a connection on which another's transaction is open.
+    Mixed { host: String, text: String },
 }
 
 /// Kept by all hosts of a test together, in the order of what happened.
@@ -53,6 +55,9 @@
         for entry in self.entries() {
             match entry {
                 Entry::Came { text, .. } => *came.entry(key(&text).to_string()).or_default() += 1,
+                Entry::Mixed { host, text } => {
+                    broken.push(format!("within another's transaction at {host}: {text}"));
+                }
                 Entry::Ran { host, text, primary } => {
                     *runs.entry(key(&text).to_string()).or_default() += 1;
                     if writes(&text) && !primary {
--- a/crates/comethitch-standin/src/postgres.rs
+++ b/crates/comethitch-standin/src/postgres.rs
@@ -39,8 +39,12 @@
     stream.read_exact(&mut length)?;
     stream.read_exact(&mut vec![0; (u32::from_be_bytes(length) as usize).saturating_sub(4)])?;
     stream.write_all(&[message(b'R', &[0; 4]), ready()].concat())?;
+    let mut open = false;
     while let (b'Q', body) = read(&mut stream)? {
         let text = String::from_utf8_lossy(body.strip_suffix(b"\0").unwrap_or(&body)).into_owned();
+        if open {
+            engine.mixed(&text);
+        }
         if text == "SHOW vitals" {
             if engine.is_down() {
                 return Ok(());
@@ -60,7 +64,11 @@
         };
         let whole = [row(key.as_bytes()), ready()].concat();
         match step {
-            Step::Answer | Step::AnswerAfter(_) => stream.write_all(&whole)?,
+            Step::Answer | Step::AnswerAfter(_) | Step::Types => stream.write_all(&whole)?,
+            Step::LeaveOpen => {
+                open = true;
+                stream.write_all(&[row(key.as_bytes()), message(b'Z', b"T")].concat())?;
+            }
             Step::Trickle => {
                 for byte in whole {
                     stream.write_all(&[byte])?;
--- a/crates/comethitch-standin/src/tds.rs
+++ b/crates/comethitch-standin/src/tds.rs
@@ -49,6 +49,53 @@
     tokens
 }
 
+/// A row that holds a value of each type.
+fn row_of_types() -> Vec<u8> {
+    use comethitch_tds::types::code as kind;
+    let collation = [9, 4, 0xd0, 0, 0x34];
+    let chars = |code: u8, most: u16| [&[code][..], &most.to_le_bytes(), &collation].concat();
+    let short = |bytes: &[u8]| [&(bytes.len() as u16).to_le_bytes()[..], bytes].concat();
+    let byte = |bytes: &[u8]| [&[bytes.len() as u8][..], bytes].concat();
+    let utf16 = |text: &str| text.encode_utf16().flat_map(u16::to_le_bytes).collect::<Vec<u8>>();
+    let long = |bytes: &[u8]| {
+        let (all, one) = ((bytes.len() as u64).to_le_bytes(), (bytes.len() as u32).to_le_bytes());
+        [&all[..], &one, bytes, &[0; 4]].concat()
+    };
+    let values: Vec<(&str, Vec<u8>, Vec<u8>)> = vec![
+        ("tinyint", vec![kind::INT1], vec![200]),
+        ("smallint", vec![kind::INT2], (-2_i16).to_le_bytes().to_vec()),
+        ("int", vec![kind::INTN, 4], byte(&7_i32.to_le_bytes())),
+        ("bigint", vec![kind::INTN, 8], byte(&(1_i64 << 40).to_le_bytes())),
+        ("bit", vec![kind::BITN, 1], byte(&[1])),
+        ("real", vec![kind::FLTN, 4], byte(&1.5_f32.to_le_bytes())),
+        ("float", vec![kind::FLTN, 8], byte(&2.5_f64.to_le_bytes())),
+        ("decimal", vec![kind::DECIMALN, 5, 9, 2], byte(&[1, 0x39, 0x30, 0, 0])),
+        ("money", vec![kind::MONEYN, 8], byte(&[0, 0, 0, 0, 0x10, 0x27, 0, 0])),
+        ("datetime", vec![kind::DATETIMN, 8], byte(&[0; 8])),
+        ("date", vec![kind::DATEN], byte(&[1, 0, 0])),
+        ("time", vec![kind::TIMEN, 0], byte(&[60, 0, 0])),
+        ("datetime2", vec![kind::DATETIME2N, 0], byte(&[60, 0, 0, 1, 0, 0])),
+        ("datetimeoffset", vec![kind::DATETIMEOFFSETN, 0], byte(&[60, 0, 0, 1, 0, 0, 0, 0])),
+        ("guid", vec![kind::GUID, 16], byte(&[7; 16])),
+        ("nvarchar", chars(kind::NVARCHAR, 40), short(&utf16("año"))),
+        ("nchar", chars(kind::NCHAR, 6), short(&utf16("abc"))),
+        ("varchar", chars(kind::VARCHAR, 40), short(b"abc")),
+        ("char", chars(kind::CHAR, 3), short(b"abc")),
+        ("varbinary", vec![kind::VARBINARY, 10, 0], short(&[1, 2, 3])),
+        ("binary", vec![kind::BINARY, 3, 0], short(&[1, 2, 3])),
+        ("nvarchar_max", chars(kind::NVARCHAR, 0xffff), long(&utf16(&"luna".repeat(2_000)))),
+        ("varbinary_max", vec![kind::VARBINARY, 0xff, 0xff], long(&[9; 3_000])),
+        ("nothing", vec![kind::INTN, 4], byte(&[])),
+    ];
+    let columns: Vec<(&str, Column)> =
+        values.iter().map(|(name, k, _)| (*name, Column::Raw(k.clone()))).collect();
+    let cells: Vec<Cell> = values.iter().map(|(_, _, value)| Cell::Raw(value.clone())).collect();
+    let mut tokens = Vec::new();
+    put_columns(&mut tokens, &columns);
+    put_row(&mut tokens, &columns, &cells);
+    tokens
+}
+
 fn error(number: i32, class: u8) -> Vec<u8> {
     let mut tokens = Vec::new();
     put_error(&mut tokens, &Message { number, state: 1, class, text: "no".into() }, "standin");
@@ -70,7 +117,7 @@
     put_change(&mut tokens, 4, &SIZE.to_string(), "4096");
     put_done(&mut tokens, code::DONE, 0, 0);
     write(&mut stream, Kind::Answer, FIRST_SIZE, &tokens)?;
-    let mut used = false;
+    let (mut used, mut open) = (false, false);
     loop {
         let (kind, status, payload) = read(&mut stream)?;
         let (text, call) = match kind {
@@ -89,6 +136,9 @@
             continue;
         }
         used = true;
+        if open {
+            engine.mixed(&text);
+        }
         if text == PROBE {
             if engine.is_down() {
                 return Ok(());
@@ -128,6 +178,16 @@
         put_message(&mut whole, Kind::Answer, SIZE, &answer);
         match step {
             Step::Answer | Step::AnswerAfter(_) => stream.write_all(&whole)?,
+            Step::LeaveOpen => {
+                open = true;
+                put_change_bytes(&mut tokens, 8, &[1; 8], &[]);
+                write(&mut stream, Kind::Answer, SIZE, &[tokens, answer].concat())?;
+            }
+            Step::Types => {
+                tokens.extend(row_of_types());
+                end(&mut tokens);
+                write(&mut stream, Kind::Answer, SIZE, &tokens)?;
+            }
             Step::Trickle => {
                 for byte in whole {
                     stream.write_all(&[byte])?;
--- a/crates/comethitchd/tests/faults.rs
+++ b/crates/comethitchd/tests/faults.rs
@@ -166,7 +166,7 @@
     }
 }
 
-const SCENARIOS: [(&str, Play, [usize; 4]); 34] = [
+const SCENARIOS: [(&str, Play, [usize; 4]); 35] = [
     ("writes are answered", |s, c| write_meets(s, c, Step::Answer), [2, 0, 0, 0]),
     ("a write, reset before it ran", |s, c| write_meets(s, c, Step::ResetBefore), [1, 0, 1, 0]),
     ("a write, reset after it ran", |s, c| write_meets(s, c, Step::ResetAfter), [1, 0, 1, 0]),
@@ -180,6 +180,7 @@
     ("a write, answered byte by byte", |s, c| write_meets(s, c, Step::Trickle), [2, 0, 0, 0]),
     ("a write, answered twice", |s, c| write_meets(s, c, Step::Twice), [2, 0, 0, 0]),
     ("a write, answered beyond all bounds", |s, c| write_meets(s, c, Step::Huge), [1, 0, 1, 0]),
+    ("a write that leaves a transaction open", |s, c| write_meets(s, c, Step::LeaveOpen), [2, 0, 0, 0]),
     (
         "a write, answered late",
         |s, c| write_meets(s, c, Step::AnswerAfter(Duration::from_millis(200))),
--- /dev/null
+++ b/crates/comethitchd/tests/tds.rs
@@ -0,0 +1,338 @@
+//! TDS through the router, between stand-ins on loopback, and with a client library from the registry.
+
+mod support;
+
+use async_io::Async;
+use comethitch_standin::ledger::Entry;
+use comethitch_standin::tds::{attention, call};
+use comethitch_standin::{Client, Got, Host, Ledger, Step, Tongue};
+use comethitch_tds::packet::{FIRST_SIZE, Header, Kind, put_message, put_parts, status};
+use comethitch_tds::request::{Batch, CallWriter, Known};
+use comethitch_tds::token::{Token, Tokens};
+use comethitchd::protocols::tds::ways::Ways;
+use futures_lite::future::block_on;
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use support::{Router, entry, site};
+use tiberius::{AuthMethod, Config, EncryptionLevel};
+
+fn rules() -> Value {
+    json!({
+        "dialect": "tsql",
+        "disagreement": "refuse",
+        "commentless": {"wait_ms": 1200},
+        "groups": [
+            {"group": "read", "effects": ["read"]},
+            {"group": "write", "effects": ["locking_read", "session", "write", "unknown"]}
+        ],
+        "elsewhere": 0
+    })
+}
+
+struct Scene {
+    primary: Host,
+    replica: Host,
+    ledger: Ledger,
+    router: Router,
+}
+
+fn scene(rules: Value) -> Scene {
+    let ledger = Ledger::default();
+    let primary = Host::start("p", Tongue::Tds, true, &ledger);
+    let replica = Host::start("r", Tongue::Tds, false, &ledger);
+    let hosts = [entry("p", primary.address, true, "ready"), entry("r", replica.address, false, "ready")];
+    let router = Router::speaking(Tongue::Tds, site(&hosts, None, 1024), Some(rules));
+    Scene { primary, replica, ledger, router }
+}
+
+#[test]
+fn no_batch_that_writes_reaches_a_replica_whatever_its_comment_says() {
+    let Scene { primary: _primary, replica: _replica, ledger, router } = scene(rules());
+    let rows = include_str!("../../comethitch-statement/tests/corpus/tsql.jsonl").lines();
+    let rows: Vec<Value> = rows.map(|line| serde_json::from_str(line).expect(line)).collect();
+    let mut client = Client::connect(Tongue::Tds, router.address);
+    for (nth, row) in rows.iter().enumerate() {
+        let sql = row["sql"].as_str().expect("sql");
+        let claims =
+            ["read", "write"].map(|group| format!("/* id={nth}-{group},c={group},d=900,cluster=0 */ {sql}"));
+        for text in std::iter::once(sql.to_string()).chain(claims) {
+            if client.ask(&text) == Got::Closed {
+                client = Client::connect(Tongue::Tds, router.address);
+            }
+        }
+    }
+    drop(client);
+    router.wait();
+    let ran_at = |wanted: &str, effect: &str| {
+        let of = |row: &&Value| row["effect"] == effect;
+        let came = |row: &&Value| {
+            let sql = row["sql"].as_str().expect("sql");
+            let at =
+                |e: &Entry| matches!(e, Entry::Came { host, text } if host == wanted && text.ends_with(sql));
+            ledger.entries().iter().any(at)
+        };
+        rows.iter().filter(of).filter(came).count()
+    };
+    for effect in ["write", "unknown", "locking_read", "session"] {
+        assert_eq!(ran_at("r", effect), 0, "{effect} at the replica");
+    }
+    assert!(ran_at("r", "read") > 30 && ran_at("p", "write") > 40, "the others get through");
+}
+
+#[test]
+fn a_client_library_reads_every_type_and_asks_with_parameters() {
+    let Scene { primary, replica, router, .. } = scene(rules());
+    for host in [&primary, &replica] {
+        host.script(|_, text| if text.contains("tipos") { Step::Types } else { Step::Answer });
+    }
+    block_on(async {
+        let mut config = Config::new();
+        config.authentication(AuthMethod::sql_server("lectora", "secreta"));
+        config.encryption(EncryptionLevel::NotSupported);
+        let stream = Async::<TcpStream>::connect(router.address).await.expect("a connection");
+        let mut client = tiberius::Client::connect(config, stream).await.expect("let in");
+        let rows = client.simple_query("SELECT * FROM tipos").await.expect("asked").into_first_result().await;
+        let rows = rows.expect("a result");
+        let row = &rows[0];
+        assert_eq!(row.get::<u8, _>("tinyint"), Some(200));
+        assert_eq!(row.get::<i16, _>("smallint"), Some(-2));
+        assert_eq!(row.get::<i32, _>("int"), Some(7));
+        assert_eq!(row.get::<i64, _>("bigint"), Some(1 << 40));
+        assert_eq!(row.get::<bool, _>("bit"), Some(true));
+        assert_eq!(row.get::<f32, _>("real"), Some(1.5));
+        assert_eq!(row.get::<f64, _>("float"), Some(2.5));
+        assert_eq!(row.get::<tiberius::numeric::Numeric, _>("decimal").map(|n| n.value()), Some(12_345));
+        assert_eq!(row.get::<f64, _>("money"), Some(1.0));
+        assert_eq!(row.get::<tiberius::Uuid, _>("guid").map(|guid| *guid.as_bytes()), Some([7; 16]));
+        for (column, wanted) in [("nvarchar", "año"), ("nchar", "abc"), ("varchar", "abc"), ("char", "abc")]
+        {
+            assert_eq!(row.get::<&str, _>(column), Some(wanted), "{column}");
+        }
+        assert_eq!(row.get::<&[u8], _>("varbinary"), Some(&[1, 2, 3][..]));
+        assert_eq!(row.get::<&str, _>("nvarchar_max").map(str::len), Some(8_000));
+        assert_eq!(row.get::<&[u8], _>("varbinary_max").map(<[u8]>::len), Some(3_000));
+        assert_eq!(row.get::<i32, _>("nothing"), None);
+        for column in ["datetime", "date", "time", "datetime2", "datetimeoffset"] {
+            assert!(row.columns().iter().any(|known| known.name() == column));
+        }
+        // Parameterised: a call of sp_executesql.
+        let asked = client.query("SELECT data FROM facts WHERE code = 'k1' AND n = @P1", &[&7_i32]).await;
+        let rows = asked.expect("asked").into_first_result().await.expect("a result");
+        assert_eq!(rows[0].get::<&str, _>(0), Some("k1"));
+        let done = client.execute("INSERT INTO facts (code, n) VALUES ('k2', @P1)", &[&"x"]).await;
+        assert_eq!(done.expect("done").total(), 1);
+        let refused = client.simple_query("BEGIN TRANSACTION").await.err().expect("a transaction");
+        assert!(refused.to_string().contains("transactions of several statements"), "{refused}");
+    });
+    router.wait();
+}
+
+#[test]
+fn an_attention_calls_the_command_off_and_is_acknowledged_once() {
+    let Scene { primary, replica: _replica, ledger, router } = scene(rules());
+    primary.script(|nth, _| if nth == 0 { Step::HangAfter } else { Step::Answer });
+    let mut client = Client::connect(Tongue::Tds, router.address);
+    client.send("INSERT INTO t VALUES ('a')");
+    assert!(primary.next().contains("'a'"));
+    client.stream.write_all(&attention()).expect("sent");
+    assert_eq!(client.got(), Got::CalledOff);
+    assert!(client.is_quiet(), "one acknowledgement");
+    assert_eq!(client.ask("INSERT INTO t VALUES ('b')"), Got::Answered("b".into()), "the connection goes on");
+    // An attention that crosses the answer: it is answered, or called off, and then acknowledged once.
+    for nth in 0..40 {
+        let text = format!("INSERT INTO t VALUES ('c{nth}')");
+        client.send(&text);
+        if nth % 2 == 0 {
+            primary.next();
+        }
+        client.stream.write_all(&attention()).expect("sent");
+        let mut got = client.got();
+        if got == Got::Answered(format!("c{nth}")) {
+            got = client.got();
+        }
+        assert_eq!(got, Got::CalledOff, "after {text}");
+        assert_eq!(client.ask("INSERT INTO t VALUES ('d')"), Got::Answered("d".into()));
+    }
+    drop(client);
+    router.wait();
+    assert_eq!(ledger.ran("a"), 1, "it ran, and was not sent again");
+    assert!((0..40).all(|nth| ledger.ran(&format!("c{nth}")) <= 1));
+}
+
+/// The answer's tokens.
+fn tokens(stream: &mut TcpStream) -> Vec<Token> {
+    let mut message = comethitch_tds::packet::Assembly::new(1 << 20);
+    while !message.over() {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("an answer");
+        message.take(&byte).expect("packets");
+    }
+    let (mut tokens, mut at, mut all) = (Tokens::new(), 0, Vec::new());
+    while !tokens.over() {
+        let (token, length) = tokens.next(&message.payload()[at..]).expect("a token");
+        at += length;
+        all.push(token);
+    }
+    all
+}
+
+#[test]
+fn prepared_statements_are_kept_by_the_router_and_run_at_any_host() {
+    let Scene { primary, replica: _replica, ledger, router } = scene(rules());
+    let mut client = Client::connect(Tongue::Tds, router.address);
+    let send = |client: &mut Client, payload: &[u8]| {
+        client.stream.write_all(&call(payload)).expect("sent");
+        tokens(&mut client.stream)
+    };
+    let statement = "INSERT INTO t (a, b) VALUES ('p', @a)";
+    let mut payload = Vec::new();
+    CallWriter::known(&mut payload, Known::Prepare)
+        .out("@h")
+        .text("", "@a int")
+        .text("", statement)
+        .integer("", Some(1));
+    let told = send(&mut client, &payload);
+    assert!(told.contains(&Token::ReturnValue) && ledger.dispatches() == 0, "{told:?}");
+    let execute = |handle: i32| {
+        let mut payload = Vec::new();
+        CallWriter::known(&mut payload, Known::Execute).integer("", Some(handle)).integer("", Some(9));
+        payload
+    };
+    let told = send(&mut client, &execute(1));
+    assert!(told.contains(&Token::Row) && told.contains(&Token::ReturnStatus(0)), "{told:?}");
+    assert_eq!(primary.next(), statement);
+    // Prepared and executed in one: the handle comes back with the answer.
+    let mut payload = Vec::new();
+    let both = CallWriter::known(&mut payload, Known::PrepareExecute).out("@h").text("", "@a int");
+    both.text("", statement).integer("@a", Some(3));
+    let told = send(&mut client, &payload);
+    let at = |wanted: &Token| told.iter().position(|token| token == wanted);
+    assert!(at(&Token::Row) < at(&Token::ReturnValue) && at(&Token::ReturnValue).is_some(), "{told:?}");
+    assert!(send(&mut client, &execute(2)).contains(&Token::Row));
+    let failed =
+        |told: &[Token]| told.iter().any(|token| matches!(token, Token::Error(m) if m.number == 50_001));
+    assert!(failed(&send(&mut client, &execute(3))), "no such handle");
+    let mut payload = Vec::new();
+    CallWriter::known(&mut payload, Known::Unprepare).integer("", Some(1));
+    assert!(!failed(&send(&mut client, &payload)));
+    assert!(failed(&send(&mut client, &execute(1))), "it is forgotten");
+    // A client that resets its session starts without any.
+    let mut wire = Vec::new();
+    put_parts(&mut wire, Kind::Rpc, FIRST_SIZE, &execute(2), status::RESET, true);
+    client.stream.write_all(&wire).expect("sent");
+    assert!(failed(&tokens(&mut client.stream)));
+    drop(client);
+    router.wait();
+    assert_eq!(ledger.dispatches(), 3);
+}
+
+#[test]
+fn a_parameters_value_leads_to_its_group_of_hosts() {
+    let ledger = Ledger::default();
+    let (first, second) =
+        (Host::start("0", Tongue::Tds, true, &ledger), Host::start("1", Tongue::Tds, true, &ledger));
+    let mut other = entry("1", second.address, true, "ready");
+    other["block"] = 1.into();
+    let mut rules = rules();
+    rules["keys"] = json!([{"tables": ["facts"], "column": "n",
+        "spread": {"range": [{"below": 100, "hosts": 0}, {"hosts": 1}]}}]);
+    let hosts = site(&[entry("0", first.address, true, "ready"), other], None, 1024);
+    let router = Router::speaking(Tongue::Tds, hosts, Some(rules));
+    let mut client = Client::connect(Tongue::Tds, router.address);
+    for (value, host) in [(Some(99), "0"), (Some(100), "1"), (None, "")] {
+        let mut payload = Vec::new();
+        let statement = "UPDATE facts SET a = 1 WHERE n = @Key";
+        CallWriter::known(&mut payload, Known::ExecuteSql)
+            .text("", statement)
+            .text("", "@key int")
+            .integer("@key", value);
+        client.stream.write_all(&call(&payload)).expect("sent");
+        let told = tokens(&mut client.stream);
+        let came = ledger
+            .entries()
+            .iter()
+            .filter(|e| matches!(e, Entry::Came { host: at, .. } if at == host))
+            .count();
+        let refused =
+            told.iter().any(|token| matches!(token, Token::Error(m) if m.text.contains("facts lies by n")));
+        assert_eq!((came, refused), (usize::from(value.is_some()), value.is_none()), "{value:?}: {told:?}");
+    }
+    drop(client);
+    router.wait();
+}
+
+#[test]
+fn what_is_no_login_or_too_large_is_told_and_closed() {
+    let Scene { router, .. } = scene(rules());
+    let ended = |wire: &[u8]| {
+        let mut stream = TcpStream::connect(router.address).expect("a connection");
+        stream.set_read_timeout(Some(comethitch_standin::LONG)).expect("a limit");
+        // The router may close before all is sent.
+        let _ = stream.write_all(wire);
+        let mut told = Vec::new();
+        let _ = stream.read_to_end(&mut told);
+        String::from_utf16_lossy(
+            &told.as_chunks::<2>().0.iter().map(|two| u16::from_le_bytes(*two)).collect::<Vec<_>>(),
+        ) + &String::from_utf16_lossy(
+            &told
+                .get(1..)
+                .unwrap_or_default()
+                .as_chunks::<2>()
+                .0
+                .iter()
+                .map(|two| u16::from_le_bytes(*two))
+                .collect::<Vec<_>>(),
+        )
+    };
+    assert!(ended(b"GET / HTTP/1.1\r\n\r\n").contains("a packet of unknown type"));
+    let mut batch = Vec::new();
+    let mut payload = Vec::new();
+    Batch::put(&mut payload, "SELECT 1");
+    put_message(&mut batch, Kind::Batch, FIRST_SIZE, &payload);
+    assert!(ended(&batch).contains("a connection begins with a PRELOGIN"));
+    // A login that would be 60 MB long is turned down at its fifth packet.
+    let mut long = Vec::new();
+    for nth in 0..8_u8 {
+        Header { kind: Kind::Prelogin, status: 0, length: 32_000, spid: 0, number: nth }.put(&mut long);
+        long.extend([0; 31_992]);
+    }
+    let mut stream = TcpStream::connect(router.address).expect("a connection");
+    stream.set_read_timeout(Some(comethitch_standin::LONG)).expect("a limit");
+    let _ = stream.write_all(&long);
+    // An error and the end, or a reset: no more of it is taken.
+    let mut told = Vec::new();
+    let _ = stream.read_to_end(&mut told);
+    assert_eq!(
+        Client::connect(Tongue::Tds, router.address).ask("INSERT INTO t VALUES ('k')"),
+        Got::Answered("k".into())
+    );
+    router.wait();
+}
+
+#[test]
+fn the_sample_and_its_schema_fit_and_faults_are_named_by_key() {
+    let sample = include_str!("../../../deploy/tds.json");
+    Ways::read(sample).expect("the sample");
+    let schema: Value = serde_json::from_str(include_str!("../../../deploy/tds.schema.json")).expect("JSON");
+    assert_eq!(serde_json::to_value(schemars::schema_for!(Ways)).expect("a schema"), schema);
+    let sample: Value = serde_json::from_str(sample).expect("JSON");
+    let with = |key: &str, value: Value| {
+        let mut ways = sample.clone();
+        *ways.pointer_mut(key).expect(key) = value;
+        Ways::read(&ways.to_string()).expect_err(key)
+    };
+    for (key, value, told) in [
+        ("/packet_size", json!(100), "packet_size must be 512 to 32767"),
+        ("/also_listen", json!(["nowhere"]), "also_listen.0 must be an address"),
+        ("/numbers/failed", json!(1205), "numbers.failed is 1205, on which clients try again"),
+        ("/numbers/refused", json!(49918), "numbers.refused is 49918"),
+        ("/numbers/throttled", json!(0), "numbers.throttled must be above 0"),
+        ("/probe/sql", json!(" "), "probe.sql must be a query"),
+        ("/hosts/user", json!(3), "hosts.user"),
+        ("/hosts/password_file", json!("/nowhere/at/all"), "hosts.password_file"),
+    ] {
+        let why = with(key, value);
+        assert!(why.contains(told), "{key}: {why}");
+    }
+}
