--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The usual steps; `make run` takes another configuration by CONFIGURATION=file.
 CONFIGURATION ?= deploy/configuration.json
 
-.PHONY: build test lint format check run
+.PHONY: build test lint format check run demo
 
 build:
 	cargo build --release --locked
@@ -21,3 +21,7 @@
 
 run: build
 	target/release/comethitchd serve --configuration $(CONFIGURATION)
+
+# A router between stand-in hosts and clients on loopback, with one takeover in the middle.
+demo:
+	cargo run --release --locked -p comethitchd --example demo
--- a/crates/comethitchd/tests/tds.rs
+++ b/crates/comethitchd/tests/tds.rs
@@ -14,7 +14,8 @@
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use support::{Router, entry, site};
+use std::time::{Duration, Instant};
+use support::{Router, discovery, entry, send_chunk, site};
 use tiberius::{AuthMethod, Config, EncryptionLevel};
 
 fn rules() -> Value {
@@ -122,7 +123,7 @@
         assert_eq!(rows[0].get::<&str, _>(0), Some("k1"));
         let done = client.execute("INSERT INTO facts (code, n) VALUES ('k2', @P1)", &[&"x"]).await;
         assert_eq!(done.expect("done").total(), 1);
-        let refused = client.simple_query("BEGIN TRANSACTION").await.err().expect("a transaction");
+        let Err(refused) = client.simple_query("BEGIN TRANSACTION").await else { panic!("a transaction") };
         assert!(refused.to_string().contains("transactions of several statements"), "{refused}");
     });
     router.wait();
@@ -336,3 +337,59 @@
         assert!(why.contains(told), "{key}: {why}");
     }
 }
+
+#[test]
+fn a_drain_notice_in_the_middle_of_a_batch_lets_it_end_and_keeps_the_next_away() {
+    let ledger = Ledger::default();
+    let old = Host::start("old", Tongue::Tds, true, &ledger);
+    let new = Host::start("new", Tongue::Tds, false, &ledger);
+    let discovery = discovery();
+    let hosts = [entry("old", old.address, true, "ready"), entry("new", new.address, false, "ready")];
+    let router = Router::speaking(Tongue::Tds, site(&hosts, Some(&discovery), 1024), Some(rules()));
+    let (_, mut watch) = discovery.watch();
+    let tell = |watch: &mut TcpStream, seq: u64, hosts: Value| {
+        send_chunk(watch, &format!("{}\n", json!({"seq": seq, "whole": false, "hosts": hosts})));
+    };
+    tell(&mut watch, 8, json!([]));
+    old.script(|nth, _| if nth == 0 { Step::AnswerAfter(Duration::from_millis(400)) } else { Step::Answer });
+    let mut client = Client::connect(Tongue::Tds, router.address);
+    let text = "INSERT INTO t VALUES ('first'); UPDATE u SET n = 1";
+    client.send(text);
+    // The host runs it now, and will tell so once it has answered: the notice comes in between.
+    while ledger.dispatches() == 0 {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let noticed = Instant::now();
+    tell(
+        &mut watch,
+        9,
+        json!([entry("old", old.address, false, "draining"), entry("new", new.address, true, "ready")]),
+    );
+    assert_eq!(client.got(), Got::Answered("first".into()), "what runs ends");
+    old.set_primary(false);
+    new.set_primary(true);
+    // A second past the grace; each batch is answered once, wherever it goes.
+    let mut late = Vec::new();
+    for nth in 0.. {
+        if noticed.elapsed() > Duration::from_millis(3_200) {
+            break;
+        }
+        let (key, sent) = (format!("k{nth}"), noticed.elapsed());
+        let got = client.ask(&format!("INSERT INTO t VALUES ('{key}')"));
+        if sent > Duration::from_secs(2) {
+            assert_eq!(got, Got::Answered(key.clone()), "the other host serves");
+            late.push(key);
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let at_old = |key: &String| {
+        let wanted = format!("('{key}')");
+        ledger
+            .entries()
+            .iter()
+            .any(|e| matches!(e, Entry::Came { host, text } if host == "old" && text.contains(&wanted)))
+    };
+    assert!(late.len() > 10 && !late.iter().any(at_old), "nothing new past the grace");
+    drop(client);
+    router.wait();
+}
