Pass large answers on part by part, on both protocols, and show where one is not whole

Need: an answer of more than a megabyte failed, and held whole a few of them would fill a router's memory. Change: past 256 KiB an answer's parts go to the client one by one, each once the one before is through; as it begins the module is told that the command was answered; where the host fails midway, or nothing moves, the client's connection ends before the answer's own end.

--- a/crates/comethitch-standin/src/engine.rs
+++ b/crates/comethitch-standin/src/engine.rs
@@ -38,8 +38,10 @@
     Fault,
     /// An error on which drivers try again, once it ran.
     Transient,
-    /// Runs it, and answers with more than is passed on.
+    /// Runs it, and answers with two megabytes in rows of which the last is its key.
     Huge,
+    /// The same, and closes the connection after three quarters of it.
+    HugeCut,
     /// Runs it, and leaves a transaction open.
     LeaveOpen,
     /// Runs it, and answers with a row of every type, where the protocol has types.
--- a/crates/comethitch-standin/src/postgres.rs
+++ b/crates/comethitch-standin/src/postgres.rs
@@ -84,7 +84,21 @@
             Step::Refuse => stream.write_all(&[error("53300"), ready()].concat())?,
             Step::Fault => stream.write_all(&[error("XX000"), ready()].concat())?,
             Step::Transient => stream.write_all(&[error("40001"), ready()].concat())?,
-            Step::Huge => stream.write_all(&[row(&vec![b'x'; 100 << 10]).repeat(20), ready()].concat())?,
+            Step::Huge | Step::HugeCut => {
+                // One answer of many rows: its description stands once, and its end.
+                let one = row(&vec![b'x'; 100 << 10]);
+                let (begin, end) = (one.len() - (7 + 4 + (100 << 10)) - 14, one.len() - 14);
+                let mut huge = one[..begin].to_vec();
+                (0..20).for_each(|_| huge.extend_from_slice(&one[begin..end]));
+                let last = row(key.as_bytes());
+                huge.extend_from_slice(&last[begin..]);
+                huge.extend(ready());
+                if step == Step::HugeCut {
+                    stream.write_all(&huge[..huge.len() / 4 * 3])?;
+                    return Ok(());
+                }
+                stream.write_all(&huge)?;
+            }
             Step::ResetBefore | Step::ResetAfter => return Ok(()),
             Step::Hang | Step::HangAfter => {
                 let _ = stream.read(&mut [0]);
--- a/crates/comethitch-standin/src/tds.rs
+++ b/crates/comethitch-standin/src/tds.rs
@@ -206,10 +206,18 @@
             Step::Refuse => write(&mut stream, Kind::Answer, SIZE, &[tokens, error(10_928, 16)].concat())?,
             Step::Fault => write(&mut stream, Kind::Answer, SIZE, &[tokens, error(50_000, 16)].concat())?,
             Step::Transient => write(&mut stream, Kind::Answer, SIZE, &[tokens, error(40_501, 16)].concat())?,
-            Step::Huge => {
+            Step::Huge | Step::HugeCut => {
                 tokens.extend(rows(&"x".repeat(50 << 10), 20));
+                let columns = [("data", Column::LongText)];
+                put_row(&mut tokens, &columns, &[Cell::Text(key)]);
                 end(&mut tokens);
-                write(&mut stream, Kind::Answer, SIZE, &tokens)?;
+                let mut wire = Vec::new();
+                put_message(&mut wire, Kind::Answer, SIZE, &tokens);
+                if step == Step::HugeCut {
+                    stream.write_all(&wire[..wire.len() / 4 * 3])?;
+                    return Ok(());
+                }
+                stream.write_all(&wire)?;
             }
             Step::ResetBefore | Step::ResetAfter => return Ok(()),
             Step::Hang | Step::HangAfter => {
--- a/crates/comethitchd/src/memory/commands.rs
+++ b/crates/comethitchd/src/memory/commands.rs
@@ -23,16 +23,25 @@
 }
 
 /// The final answer to a command.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Reply {
     /// A value as a host gave it for this command.
     Value(Vec<u8>),
+    /// The first part of a large value; the others come behind it.
+    Begun(Vec<u8>, Receiver<Part>),
     Throttled(Option<Span>),
     Failed,
     /// Failed, and a host's own error tells why.
     FailedBy(Vec<u8>),
 }
 
+/// A further part of a value. Without an end it is not whole.
+#[derive(Debug)]
+pub enum Part {
+    Bytes(Vec<u8>),
+    End,
+}
+
 struct Command {
     statement: Rc<Statement>,
     /// Gone once the final answer is given.
--- a/crates/comethitchd/src/memory/tongue.rs
+++ b/crates/comethitchd/src/memory/tongue.rs
@@ -39,4 +39,6 @@
     pub reported: Standing,
     /// The value as the front passes it on, or a host's error.
     pub value: Vec<u8>,
+    /// The module was told as the answer began.
+    pub told: bool,
 }
--- /dev/null
+++ b/crates/comethitchd/src/protocols/flow.rs
@@ -0,0 +1,79 @@
+//! An answer that is passed on while it still comes: past a bound its parts go to the client one by one, each once
+//! the one before is through, so that memory stays bounded however large it is and however slow its client.
+//!
+//! What has begun is the command's final answer: the module is told that it was answered, and nothing else is
+//! sent for it. If the host fails midway, the client is told by the end of its connection.
+
+use crate::memory::commands::{Part, Reply};
+use crate::memory::connection::ConnectionEnd;
+use crate::memory::hub::Hub;
+use crate::stages::{relay, route};
+use async_channel::{Sender, bounded};
+use async_io::Timer;
+use comethitch::CommandId;
+use comethitch::time::Time;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Up to so many bytes an answer is held whole: until then another host may still answer in place of this one.
+pub const HELD_WHOLE: usize = 256 * 1024;
+
+pub struct Flow {
+    hub: Rc<Hub>,
+    id: CommandId,
+    nth: u16,
+    parts: RefCell<Option<Sender<Part>>>,
+    moved: Cell<Time>,
+}
+
+impl Flow {
+    pub fn new(hub: &Rc<Hub>, id: CommandId, nth: u16) -> Flow {
+        let moved = Cell::new(hub.clock.now());
+        Flow { hub: hub.clone(), id, nth, parts: RefCell::default(), moved }
+    }
+
+    /// Its first part has gone to the client.
+    pub fn begun(&self) -> bool {
+        self.parts.borrow().is_some()
+    }
+
+    /// Passes a part on; an error if nobody wants it.
+    pub async fn pass(&self, bytes: Vec<u8>) -> Result<(), ConnectionEnd> {
+        let parts = self.parts.borrow().clone();
+        match parts {
+            Some(parts) => parts.send(Part::Bytes(bytes)).await.map_err(|_| ConnectionEnd::GivenUp)?,
+            None => {
+                let (sender, receiver) = bounded(1);
+                if !relay::answer(&self.hub, self.id, Reply::Begun(bytes, receiver)) {
+                    return Err(ConnectionEnd::GivenUp);
+                }
+                *self.parts.borrow_mut() = Some(sender);
+                route::begun(&self.hub, self.id, self.nth);
+            }
+        }
+        self.moved.set(self.hub.clock.now());
+        Ok(())
+    }
+
+    /// Passes the last part on.
+    pub async fn end(&self, bytes: Vec<u8>) -> Result<(), ConnectionEnd> {
+        self.pass(bytes).await?;
+        let parts = self.parts.borrow().clone();
+        match parts {
+            Some(parts) => parts.send(Part::End).await.map_err(|_| ConnectionEnd::GivenUp),
+            None => Ok(()),
+        }
+    }
+
+    /// Waits until nothing of what has begun has moved for so long; at once if nothing has begun.
+    pub async fn stalled(&self, patience: Duration) {
+        while self.begun() {
+            let before = self.moved.get();
+            Timer::after(patience).await;
+            if self.moved.get() == before {
+                break;
+            }
+        }
+    }
+}
--- a/crates/comethitchd/src/protocols/postgres/send.rs
+++ b/crates/comethitchd/src/protocols/postgres/send.rs
@@ -7,6 +7,7 @@
 use crate::memory::hub::Hub;
 use crate::memory::tally::count;
 use crate::memory::tongue::Outcome;
+use crate::protocols::flow::{Flow, HELD_WHOLE};
 use crate::stages::route;
 use crate::wire::postgres::{self, Answer, Form, LARGEST_MESSAGE};
 use crate::wire::standing;
@@ -29,10 +30,15 @@
                     .code
                     .map_or(ConnectionEnd::Whole, |code| ConnectionEnd::Told(Code::Postgres(code))),
                 value: if answer.error.is_empty() { answer.value } else { answer.error },
+                told: false,
+            },
+            Err(end) => Outcome {
+                end,
+                noted: Standing::default(),
+                reported: Standing::default(),
+                value: Vec::new(),
+                told: false,
             },
-            Err(end) => {
-                Outcome { end, noted: Standing::default(), reported: Standing::default(), value: Vec::new() }
-            }
         }
     }
 }
@@ -55,7 +61,9 @@
             router.handle(id).is_some_and(|handle| handle.may_go(&router, nth, held.clock.now()))
         };
         let began = held.clock.now();
-        let outcome: Outcome = within(&held, host, query, time_out, may_go).await.into();
+        let flow = Flow::new(&held, id, nth);
+        let mut outcome: Outcome = within(&held, host, query, time_out, may_go, Some(&flow)).await.into();
+        outcome.told = flow.begun();
         if let Some(known) = statement.known.as_ref().filter(|_| outcome.end == ConnectionEnd::Whole) {
             held.answered_after(known, held.clock.now() - began);
         }
@@ -86,7 +94,7 @@
     let probe = async move {
         let mut query = Vec::new();
         postgres::put_query(&mut query, &[b"SHOW vitals"]);
-        let ended = within(&held, host, query, held.site.deployment.connect_timeout, || true).await;
+        let ended = within(&held, host, query, held.site.deployment.connect_timeout, || true, None).await;
         let row =
             ended.as_ref().ok().and_then(|answer| answer.column().map(|text| standing::reported(&text)));
         let outcome = Outcome::from(ended);
@@ -104,18 +112,22 @@
 /// Asks a host within a time. A new connection can take long to come up, so the module is asked then
 /// whether the query `may_go` still.
 async fn within(
-    hub: &Hub, host: Host, query: Vec<u8>, time_out: Span, may_go: impl Fn() -> bool,
+    hub: &Hub, host: Host, query: Vec<u8>, time_out: Span, may_go: impl Fn() -> bool, flow: Option<&Flow>,
 ) -> Result<Answer, ConnectionEnd> {
     let written = Cell::new(false);
     let late = async {
         Timer::after(duration(time_out)).await;
+        if let Some(flow) = flow {
+            flow.stalled(duration(hub.longest_timeout)).await;
+        }
         Err(if written.get() { ConnectionEnd::Silent } else { ConnectionEnd::Unsent })
     };
-    exchange(hub, host, query, may_go, &written).or(late).await
+    exchange(hub, host, query, may_go, &written, flow).or(late).await
 }
 
 async fn exchange(
     hub: &Hub, host: Host, query: Vec<u8>, may_go: impl Fn() -> bool, written: &Cell<bool>,
+    flow: Option<&Flow>,
 ) -> Result<Answer, ConnectionEnd> {
     let dial = hub.list.borrow().dial(host).ok_or(ConnectionEnd::NotTried)?;
     let mut connection = loop {
@@ -139,11 +151,29 @@
     written.set(true);
     drop(query);
     let form = if hub.desk.borrow().is_some() { Form::Any } else { Form::OneValue };
+    let flow = flow.filter(|_| form == Form::Any);
     let (mut answer, mut held) = (Answer::of(form), Held::new(&hub.room));
-    let ended =
-        read(&mut connection, &mut answer, |answer| form == Form::OneValue || held.is(answer.value.len()))
-            .await;
-    if ended == Err(ConnectionEnd::TooLarge) {
+    let ended = loop {
+        let has_room = |answer: &Answer| form == Form::OneValue || held.is(answer.value.len());
+        let pauses = |answer: &Answer| flow.is_some() && answer.value.len() >= HELD_WHOLE;
+        match read(&mut connection, &mut answer, has_room, pauses).await {
+            Ok(false) => {
+                let bytes = answer.pass();
+                if let Some(flow) = flow {
+                    flow.pass(bytes).await?;
+                }
+            }
+            Ok(true) => break Ok(()),
+            Err(end) => break Err(end),
+        }
+    };
+    if let Some(flow) = flow.filter(|flow| flow.begun()) {
+        // What the client has of it is whole only once the host has said so.
+        ended.clone()?;
+        let rest = [answer.pass(), std::mem::take(&mut answer.error)].concat();
+        flow.end(rest).await?;
+        answer.code = None;
+    } else if ended == Err(ConnectionEnd::TooLarge) {
         return Err(ConnectionEnd::TooLarge);
     }
     // A value or a code stands if the connection breaks behind it, but not if nonsense follows.
@@ -158,10 +188,11 @@
     Ok(answer)
 }
 
-/// Reads up to the host's word that it is ready.
+/// Reads up to the host's word that it is ready, or up to a pause; true where it is ready.
 async fn read(
     connection: &mut HostConnection, answer: &mut Answer, mut has_room: impl FnMut(&Answer) -> bool,
-) -> Result<(), ConnectionEnd> {
+    pauses: impl Fn(&Answer) -> bool,
+) -> Result<bool, ConnectionEnd> {
     loop {
         while let Some(message) =
             answer.next(connection.buffer.unread()).map_err(|_| ConnectionEnd::Malformed)?
@@ -176,7 +207,10 @@
             let length = message.raw.len();
             connection.buffer.consume(length);
             if answer.ready() {
-                return Ok(());
+                return Ok(true);
+            }
+            if pauses(answer) {
+                return Ok(false);
             }
         }
         match connection.buffer.fill(&connection.stream).await {
@@ -215,7 +249,7 @@
             permit,
         };
         let mut greeting = Answer::default();
-        let greeted = read(&mut connection, &mut greeting, |_| true).await;
+        let greeted = read(&mut connection, &mut greeting, |_| true, |_| false).await;
         // Of the codes in a greeting, one tells more than that no connection came up.
         let full = greeting
             .code
--- a/crates/comethitchd/src/protocols/postgres/take_in.rs
+++ b/crates/comethitchd/src/protocols/postgres/take_in.rs
@@ -1,13 +1,14 @@
 //! First stage: a client's connection, from its startup message to its end.
 
 use crate::memory::clients::{Permit, Stage};
-use crate::memory::commands::Reply;
+use crate::memory::commands::{Part, Reply};
 use crate::memory::hub::Hub;
 use crate::memory::tally::count;
 use crate::protocols::line::{Line, Stop};
 use crate::stages::admit::{Asked, NotTaken};
 use crate::stages::{admit, route};
 use crate::wire::postgres::{self, LARGEST_MESSAGE, Opening};
+use async_channel::Receiver;
 use async_io::Async;
 use std::future::Future;
 use std::net::TcpStream;
@@ -98,6 +99,17 @@
         }
     }
 
+    /// Passes the parts of a large value on; without an end the connection's own tells that it is not whole.
+    async fn pass_on(&self, parts: &Receiver<Part>) -> Result<(), Stop> {
+        while let Ok(part) = parts.recv().await {
+            match part {
+                Part::Bytes(bytes) => self.line.write(&bytes).await?,
+                Part::End => return Ok(()),
+            }
+        }
+        Err(Stop::Closing)
+    }
+
     async fn query(&mut self, text: Vec<u8>, mut out: Vec<u8>) -> Result<(), Stop> {
         if text.iter().all(|b| b.is_ascii_whitespace() || *b == b';') {
             let hub = self.line.hub.clone();
@@ -118,6 +130,13 @@
                     self.line.hub.clients.turn(self.line.number, Stage::Busy, self.line.hub.clock.now());
                     let (id, reply) = route::take(&self.line.hub, admitted, text, b'Q');
                     match self.line.while_here(reply.recv()).await {
+                        Ok(Ok(Reply::Begun(first, parts))) => {
+                            out.extend(first);
+                            self.line.write(&out).await?;
+                            out.clear();
+                            self.pass_on(&parts).await?;
+                            self.line.answered();
+                        }
                         Ok(Ok(reply)) => {
                             put_reply(&mut out, reply);
                             self.line.answered();
@@ -148,6 +167,8 @@
     match reply {
         Reply::Value(value) if out.is_empty() => *out = value,
         Reply::Value(value) => out.extend(value),
+        // Passed on part by part before it comes here.
+        Reply::Begun(first, _) => out.extend(first),
         Reply::FailedBy(error) => out.extend(error),
         Reply::Throttled(retry_after) => {
             let advice = retry_after.map(|after| after.0.div_ceil(1_000).to_string());
--- a/crates/comethitchd/src/protocols/tds/answer.rs
+++ b/crates/comethitchd/src/protocols/tds/answer.rs
@@ -7,8 +7,8 @@
 use comethitch_tds::types::Value;
 use comethitch_tds::{Broken, Unread};
 
-/// An answer of more bytes is not passed on.
-pub const LARGEST_ANSWER: usize = 1 << 20;
+/// A token of more bytes is not passed on.
+pub const LARGEST_TOKEN: usize = 1 << 20;
 
 pub struct Answer {
     tokens: Tokens,
--- a/crates/comethitchd/src/protocols/tds/send.rs
+++ b/crates/comethitchd/src/protocols/tds/send.rs
@@ -1,6 +1,6 @@
 //! One dispatch, or one probe, on a connection to a host.
 
-use super::answer::{Answer, LARGEST_ANSWER};
+use super::answer::{Answer, LARGEST_TOKEN};
 use super::ways::Ways;
 use crate::memory::buffer::{Buffer, Held};
 use crate::memory::clock::{after, duration};
@@ -8,6 +8,7 @@
 use crate::memory::hub::Hub;
 use crate::memory::tally::count;
 use crate::memory::tongue::Outcome;
+use crate::protocols::flow::{Flow, HELD_WHOLE};
 use crate::stages::route;
 use async_io::{Async, Timer};
 use comethitch::time::{Span, Time};
@@ -44,7 +45,10 @@
         };
         let began = held.clock.now();
         let kind = Kind::of(statement.kind).unwrap_or(Kind::Batch);
-        let outcome = outcome(within(&held, &ways, host, (kind, &statement.text), time_out, may_go).await);
+        let flow = Flow::new(&held, id, nth);
+        let message = (kind, &statement.text[..]);
+        let mut outcome = outcome(within(&held, &ways, host, message, time_out, may_go, Some(&flow)).await);
+        outcome.told = flow.begun();
         if let Some(known) = statement.known.as_ref().filter(|_| outcome.end == ConnectionEnd::Whole) {
             held.answered_after(known, held.clock.now() - began);
         }
@@ -63,7 +67,7 @@
         },
         Err(end) => (end, Vec::new()),
     };
-    Outcome { end, noted: Standing::default(), reported: Standing::default(), value }
+    Outcome { end, noted: Standing::default(), reported: Standing::default(), value, told: false }
 }
 
 /// Asks a host how it stands. A probe waits no longer than a connection may take.
@@ -74,7 +78,7 @@
         let mut payload = Vec::new();
         Batch::put(&mut payload, &ways.probe.sql);
         let limit = held.site.deployment.connect_timeout;
-        let ended = within(&held, &ways, host, (Kind::Batch, &payload), limit, || true).await;
+        let ended = within(&held, &ways, host, (Kind::Batch, &payload), limit, || true, None).await;
         let told = ended.as_ref().ok().and_then(|answer| answer.row.as_ref());
         let told = told.map(|row| standing(row, &ways.probe.primary)).unwrap_or_default();
         let mut end = outcome(ended).end;
@@ -116,18 +120,22 @@
 /// message `may_go` still.
 async fn within(
     hub: &Hub, ways: &Ways, host: Host, message: (Kind, &[u8]), time_out: Span, may_go: impl Fn() -> bool,
+    flow: Option<&Flow>,
 ) -> Result<Answer, ConnectionEnd> {
     let written = Cell::new(false);
     let late = async {
         Timer::after(duration(time_out)).await;
+        if let Some(flow) = flow {
+            flow.stalled(duration(hub.longest_timeout)).await;
+        }
         Err(if written.get() { ConnectionEnd::Silent } else { ConnectionEnd::Unsent })
     };
-    exchange(hub, ways, host, message, may_go, &written).or(late).await
+    exchange(hub, ways, host, message, may_go, &written, flow).or(late).await
 }
 
 async fn exchange(
     hub: &Hub, ways: &Ways, host: Host, (kind, payload): (Kind, &[u8]), may_go: impl Fn() -> bool,
-    written: &Cell<bool>,
+    written: &Cell<bool>, flow: Option<&Flow>,
 ) -> Result<Answer, ConnectionEnd> {
     let dial = hub.list.borrow().dial(host).ok_or(ConnectionEnd::NotTried)?;
     let mut connection = loop {
@@ -155,11 +163,24 @@
     written.set(true);
     connection.kept.used = true;
     let (mut answer, mut held) = (Answer::new(), Held::new(&hub.room));
-    let ended = read(&mut connection, &mut answer, &mut held).await;
+    let ended = loop {
+        match read(&mut connection, &mut answer, &mut held, flow.is_some()).await {
+            Ok(false) => {
+                if let Some(flow) = flow {
+                    flow.pass(std::mem::take(&mut answer.value)).await?;
+                }
+            }
+            Ok(true) => break Ok(()),
+            Err(end) => break Err(end),
+        }
+    };
     // An answer whose last token has come stands, whatever becomes of its connection.
     if !answer.whole() || ended == Err(ConnectionEnd::TooLarge) {
         return Err(ended.err().unwrap_or(ConnectionEnd::Malformed));
     }
+    if let Some(flow) = flow.filter(|flow| flow.begun()) {
+        flow.end(std::mem::take(&mut answer.value)).await?;
+    }
     let listed = hub.list.borrow().is_at(host, connection.dial);
     let fatal =
         answer.error.as_ref().is_some_and(|code| ConnectionEnd::Told(code.clone()).ending() == Ending::Reset);
@@ -170,18 +191,22 @@
     Ok(answer)
 }
 
-/// Reads up to the answer's end.
+/// Reads up to the answer's end, or up to a pause once there is enough to be passed on; true at the end.
 async fn read(
-    connection: &mut HostConnection, answer: &mut Answer, held: &mut Held,
-) -> Result<(), ConnectionEnd> {
+    connection: &mut HostConnection, answer: &mut Answer, held: &mut Held, pauses: bool,
+) -> Result<bool, ConnectionEnd> {
     loop {
         let taken = answer.take(connection.buffer.unread()).map_err(|_| ConnectionEnd::Malformed)?;
         connection.buffer.consume(taken);
-        if answer.held() > LARGEST_ANSWER || !held.is(answer.held()) {
+        if answer.held() > HELD_WHOLE + LARGEST_TOKEN || !held.is(answer.held()) {
             return Err(ConnectionEnd::TooLarge);
         }
         if answer.over() {
-            return Ok(());
+            return Ok(true);
+        }
+        // An error within the answer is known only once it is whole, up to here.
+        if pauses && answer.value.len() >= HELD_WHOLE {
+            return Ok(false);
         }
         match connection.buffer.fill(&connection.stream).await {
             Ok(0) | Err(_) => return Err(ConnectionEnd::Broken),
@@ -258,7 +283,7 @@
     put_message(&mut wire, Kind::Login, FIRST_SIZE, &payload);
     (&connection.stream).write_all(&wire).await.map_err(|_| ConnectionEnd::NeverUp)?;
     let (mut answer, mut held) = (Answer::new(), Held::new(&hub.room));
-    let ended = read(connection, &mut answer, &mut held).await;
+    let ended = read(connection, &mut answer, &mut held, false).await;
     match answer.error.take() {
         // Of the errors at a login one tells more than that no connection came up.
         Some(code) => match ConnectionEnd::Told(code) {
--- a/crates/comethitchd/src/protocols/tds/take_in.rs
+++ b/crates/comethitchd/src/protocols/tds/take_in.rs
@@ -4,18 +4,19 @@
 use super::ways::{TRIED_AGAIN, Ways};
 use crate::memory::buffer::Held;
 use crate::memory::clients::{Permit, Stage};
-use crate::memory::commands::Reply;
+use crate::memory::commands::{Part, Reply};
 use crate::memory::hub::Hub;
 use crate::memory::tally::count;
 use crate::protocols::line::{Line, Stop};
 use crate::stages::admit::{self, Asked, NotTaken};
 use crate::stages::route;
+use async_channel::Receiver;
 use async_io::Async;
 use comethitch_statement::classify::only_settings;
 use comethitch_statement::{Dialect, Lexer};
 use comethitch_tds::login::{Encryption, LARGEST_LOGIN, Login, Prelogin, VERSION};
 use comethitch_tds::packet::{
-    Assembly, FIRST_SIZE, HEADER, Kind, LARGEST_SIZE, LEAST_SIZE, put_message, status,
+    Assembly, FIRST_SIZE, HEADER, Kind, LARGEST_SIZE, LEAST_SIZE, put_message, put_parts, status,
 };
 use comethitch_tds::request::{Batch, Call, CallWriter, Known, Procedure, declared};
 use comethitch_tds::token::{Message, Token, Tokens, code, done};
@@ -32,6 +33,8 @@
 /// The collation that clients are told: Latin, without regard to case.
 const COLLATION: [u8; 5] = [0x09, 0x04, 0xd0, 0x00, 0x34];
 const SERVER: &str = "comethitch";
+/// A DONE token's length.
+const DONE_BYTES: usize = 13;
 
 struct Client {
     line: Line,
@@ -347,6 +350,11 @@
         let (id, reply) = route::take(&hub, admitted, payload, kind.code());
         let attention = |unread: &[u8]| unread.first() == Some(&Kind::Attention.code());
         match self.line.unless(reply.recv(), attention).await {
+            Ok(Some(Ok(Reply::Begun(first, parts)))) => {
+                self.pass_on(tokens, first, &parts, called).await?;
+                self.line.answered();
+                Ok(true)
+            }
             Ok(Some(Ok(reply))) => {
                 put_reply(tokens, reply, numbers, called, repeatable);
                 self.line.answered();
@@ -367,6 +375,35 @@
     }
 }
 
+impl Client {
+    /// Passes a large value on part by part, all but its end, which is left in `tokens`: a handle may have to come
+    /// before it. Where the end does not come, the connection's own tells that the answer is not whole.
+    async fn pass_on(
+        &mut self, tokens: &mut Vec<u8>, first: Vec<u8>, parts: &Receiver<Part>, called: Called,
+    ) -> Result<(), Stop> {
+        tokens.extend(first);
+        loop {
+            if tokens.len() > DONE_BYTES {
+                let rest = tokens.split_off(tokens.len() - DONE_BYTES);
+                let mut wire = Vec::with_capacity(tokens.len() + tokens.len() / 64 + HEADER);
+                put_parts(&mut wire, Kind::Answer, self.packet, tokens, 0, false);
+                *tokens = rest;
+                self.line.write(&wire).await?;
+            }
+            match parts.recv().await {
+                Ok(Part::Bytes(bytes)) => tokens.extend(bytes),
+                Ok(Part::End) => break,
+                Err(_) => return Err(Stop::Closing),
+            }
+        }
+        if let Called::Preparing(handle) = called {
+            let end = std::mem::take(tokens);
+            put_with_handle(tokens, &end, handle);
+        }
+        Ok(())
+    }
+}
+
 /// A prepared statement's execution as a call that any host can take.
 fn executed(call: &Call, payload: &[u8], text: &str, declarations: &str, called: Called) -> Request {
     let mut own = Vec::new();
@@ -407,6 +444,8 @@
         put_done(out, called.done(), done::ERROR, 0);
     };
     match reply {
+        // Passed on part by part before it comes here.
+        Reply::Begun(first, _) => out.extend(first),
         Reply::Value(value) => match called {
             Called::Preparing(handle) => put_with_handle(out, &value, handle),
             _ => out.extend(value),
@@ -443,8 +482,7 @@
 
 /// An answer with the handle of the statement that was prepared with it, before its last token.
 fn put_with_handle(out: &mut Vec<u8>, answer: &[u8], handle: i32) {
-    const DONE: usize = 13;
-    let (before, last) = answer.split_at(answer.len().saturating_sub(DONE));
+    let (before, last) = answer.split_at(answer.len().saturating_sub(DONE_BYTES));
     out.extend(before);
     put_return_value(out, 0, "@handle", handle);
     out.extend(last);
--- a/crates/comethitchd/src/stages/route.rs
+++ b/crates/comethitchd/src/stages/route.rs
@@ -11,7 +11,7 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use comethitch::time::{Span, Time};
-use comethitch::{CommandId, Host, Outlet, Router, Standing};
+use comethitch::{CommandId, Ending, Host, Outlet, Router, Standing};
 use std::rc::Rc;
 
 enum Act {
@@ -92,7 +92,9 @@
                 let task = hub.commands.borrow_mut().take_dispatch(id, nth);
                 at_once.extend(task.map(|_| (id, nth, ConnectionEnd::GivenUp)));
             }
-            Act::Final(id, reply) => relay::answer(hub, id, reply),
+            Act::Final(id, reply) => {
+                relay::answer(hub, id, reply);
+            }
             Act::Probe(host) => hub.back.probe(hub, host),
             Act::CloseIdle(host) => {
                 log::warn!(
@@ -106,14 +108,27 @@
     }
     for (id, nth, end) in at_once {
         let (noted, reported) = (Standing::default(), Standing::default());
-        ended(hub, id, nth, Outcome { end, noted, reported, value: Vec::new() });
+        ended(hub, id, nth, Outcome { end, noted, reported, value: Vec::new(), told: false });
     }
 }
 
+/// An answer has begun and goes to the client: for the module the dispatch has ended with it.
+pub fn begun(hub: &Rc<Hub>, id: CommandId, nth: u16) {
+    let (noted, reported) = (Standing::default(), Standing::default());
+    decide(hub, |router, out| {
+        if let Some(handle) = router.handle(id) {
+            handle.dispatch_ended(router, nth, Ending::Answered, true, noted, reported, out);
+        }
+    });
+}
+
 /// A dispatch has ended: it is booked, and the module told.
 pub fn ended(hub: &Rc<Hub>, id: CommandId, nth: u16, outcome: Outcome) {
-    let Outcome { end, noted, reported, value } = outcome;
+    let Outcome { end, noted, reported, value, told } = outcome;
     let over = book::ended(hub, id, nth, &end, value);
+    if told {
+        return;
+    }
     decide(hub, |router, out| {
         if let Some(handle) = router.handle(id) {
             handle.dispatch_ended(router, nth, end.ending(), over, noted, reported, out);
--- a/crates/comethitchd/src/wire/postgres.rs
+++ b/crates/comethitchd/src/wire/postgres.rs
@@ -187,6 +187,8 @@
     pub in_transaction: bool,
     row: Option<std::ops::Range<usize>>,
     stage: Stage,
+    /// Some of the value was taken out already.
+    passed: bool,
 }
 
 #[derive(Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -298,6 +300,7 @@
         }
         if next != Stage::Ready {
             let most = if self.form == Form::Any { LARGEST_ANSWER } else { LARGEST_MESSAGE };
+            // What is taken out in time never reaches the bound.
             if self.value.len() + message.raw.len() > most {
                 return Err(if self.form == Form::Any {
                     TOO_LARGE
@@ -326,6 +329,12 @@
         Ok(())
     }
 
+    /// Takes out what has come of the value so far.
+    pub fn pass(&mut self) -> Vec<u8> {
+        self.passed = true;
+        std::mem::take(&mut self.value)
+    }
+
     /// The host has nothing more to say, and the connection can carry the next query.
     pub fn ready(&self) -> bool {
         self.stage == Stage::Ready
@@ -333,7 +342,7 @@
 
     /// The value is whole, whether or not anything follows it.
     pub fn whole(&self) -> bool {
-        let any = self.form == Form::Any && !self.value.is_empty();
+        let any = self.form == Form::Any && (self.passed || !self.value.is_empty());
         (any || self.row.is_some()) && self.stage >= Stage::Complete && self.code.is_none()
     }
 
