--- a/crates/comethitch-standin/src/tds.rs
+++ b/crates/comethitch-standin/src/tds.rs
@@ -110,7 +110,8 @@
     Prelogin { version: [16, 0, 0, 0, 0, 0], ..Prelogin::default() }.put(&mut told);
     write(&mut stream, Kind::Answer, FIRST_SIZE, &told)?;
     let (_, _, payload) = read(&mut stream)?;
-    Login::read(&payload).map_err(broken)?;
+    // A router's connections are many clients'; one that a client opened itself is its own.
+    let shared = Login::read(&payload).map_err(broken)?.application == "comethitch";
     let mut tokens = Vec::new();
     put_change(&mut tokens, 1, "crm", "master");
     put_login_ack(&mut tokens, VERSION, "standin");
@@ -130,7 +131,7 @@
         let mut tokens = Vec::new();
         if status & status::RESET != 0 {
             put_change_bytes(&mut tokens, 18, &[], &[]);
-        } else if used {
+        } else if used && shared {
             // A session that was used is to be made as new: a command without that is turned away.
             write(&mut stream, Kind::Answer, SIZE, &error(50_999, 16))?;
             continue;
