--- a/crates/comethitch-statement/src/lexer.rs
+++ b/crates/comethitch-statement/src/lexer.rs
@@ -16,6 +16,8 @@
 pub const LONGEST_TEXT: usize = 1 << 20;
 /// Brackets may stand this deep in each other; deeper ones make a statement doubtful.
 pub const DEEPEST: usize = 256;
+/// Memory for reading is kept from one statement to the next up to so many bytes.
+const MOST_KEPT: usize = 64 * 1024;
 /// Stands for a literal or a parameter in a shape.
 pub const PLACEHOLDER: u8 = 1;
 
@@ -204,6 +206,10 @@
 
     /// Reads a statement; what was read before is forgotten.
     pub fn read(&mut self, text: &[u8]) {
+        // What one long statement took is not kept for all that follow.
+        if self.held() > MOST_KEPT {
+            (self.shape, self.tokens, self.literals) = (Vec::new(), Vec::new(), Vec::new());
+        }
         self.shape.clear();
         self.tokens.clear();
         self.literals.clear();
--- a/crates/comethitch-tds/src/request.rs
+++ b/crates/comethitch-tds/src/request.rs
@@ -96,8 +96,11 @@
         })
     }
 
+    /// By its name as the server's own: a procedure of the same name in somebody's schema is another.
     fn named(name: &str) -> Option<Known> {
-        let bare = name.rsplit('.').next().unwrap_or_default().trim_matches(['[', ']']).to_ascii_lowercase();
+        let name = name.to_ascii_lowercase();
+        let bare = name.strip_prefix("sys.").or_else(|| name.strip_prefix("[sys].")).unwrap_or(&name);
+        let bare = bare.strip_prefix('[').and_then(|bare| bare.strip_suffix(']')).unwrap_or(bare).to_string();
         Some(match bare.as_str() {
             "sp_executesql" => Known::ExecuteSql,
             "sp_prepare" => Known::Prepare,
@@ -200,15 +203,27 @@
         Ok(Call { headers, procedure, parameters, more })
     }
 
-    /// The statement that a call of `sp_executesql`, `sp_prepare` or `sp_prepexec` carries.
+    /// The statement that a call of `sp_executesql`, `sp_prepare` or `sp_prepexec` carries. Servers bind parameters
+    /// by name before place: where a name says that it stands elsewhere, there is none.
     pub fn statement(&self) -> Option<&str> {
         let nth = match self.procedure {
             Procedure::Known(Known::ExecuteSql) => 0,
             Procedure::Known(Known::Prepare | Known::PrepareExecute) => 2,
             _ => return None,
         };
+        let named = |at: usize, names: &[&str]| {
+            let name = self.parameters.get(at).map_or("", |parameter| parameter.name.trim_start_matches('@'));
+            name.is_empty() || names.iter().any(|known| name.eq_ignore_ascii_case(known))
+        };
+        let own = ["stmt", "statement", "params", "parameters", "handle"];
+        let first = self.first_argument().max(nth + 1);
+        let in_place = named(nth, &["stmt", "statement"])
+            && named(1, &["params", "parameters"])
+            && (nth == 0 || named(0, &["handle"]))
+            && (first..self.parameters.len())
+                .all(|at| self.parameters[at].name.is_empty() || !named(at, &own));
         match &self.parameters.get(nth)?.value {
-            Value::Text(text) => Some(text),
+            Value::Text(text) if in_place => Some(text),
             _ => None,
         }
     }
--- a/crates/comethitch-tds/tests/codec.rs
+++ b/crates/comethitch-tds/tests/codec.rs
@@ -351,6 +351,31 @@
     }
 }
 
+#[test]
+fn a_statement_that_its_name_puts_elsewhere_is_none() {
+    let statement = |first: &str, second: &str, third: &str| {
+        let mut wire = Vec::new();
+        CallWriter::known(&mut wire, Known::ExecuteSql)
+            .text(first, "SELECT 1")
+            .text(second, "DELETE FROM t")
+            .text(third, "x");
+        Call::read(&wire).expect("a call").statement().map(String::from)
+    };
+    assert_eq!(statement("", "", "@a").as_deref(), Some("SELECT 1"));
+    assert_eq!(statement("@stmt", "@Params", "@a").as_deref(), Some("SELECT 1"));
+    for (first, second, third) in
+        [("@params", "@stmt", "@a"), ("", "@stmt", "@a"), ("@a", "", ""), ("", "", "@STMT")]
+    {
+        assert_eq!(statement(first, second, third), None, "{first}, {second}, {third}");
+    }
+    for name in ["tienda.sp_executesql", "[x.sp_executesql]", "a.dbo.sp_executesql"] {
+        let mut wire = Vec::new();
+        CallWriter::named(&mut wire, name).text("", "SELECT 1");
+        let call = Call::read(&wire).expect("a call");
+        assert_eq!(call.procedure, Procedure::Named(name.into()), "somebody's own");
+    }
+}
+
 #[test]
 fn an_empty_message_is_one_packet() {
     let mut wire = Vec::new();
--- a/crates/comethitchd/src/main.rs
+++ b/crates/comethitchd/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use argh::FromArgs;
+use comethitch_statement::Dialect;
 use comethitchd::memory::clock::Clock;
 use comethitchd::memory::site::Site;
 use comethitchd::protocols::tds::ways::Ways;
@@ -81,6 +82,9 @@
 fn tongue(tds: &Option<PathBuf>, site: &Site) -> Result<Tongue, String> {
     match tds {
         Some(path) => Tongue::tds(Ways::load(path)?, site),
+        None if site.statements.as_ref().is_some_and(|rules| rules.dialect != Dialect::Postgres) => {
+            Err("the rules for statements are not of the dialect postgres".into())
+        }
         None => Ok(Tongue::postgres()),
     }
 }
--- a/crates/comethitchd/src/protocols/tds/prepared.rs
+++ b/crates/comethitchd/src/protocols/tds/prepared.rs
@@ -1,6 +1,7 @@
 //! Statements that a client has prepared. They are kept here and not at hosts: each execution is a call of
 //! `sp_executesql`, which any host can take.
 
+use crate::memory::buffer::{Held, Room};
 use std::collections::BTreeMap;
 
 /// The most bytes of all statements that a client may keep.
@@ -9,20 +10,22 @@
 const EACH: usize = 128;
 
 pub struct Prepared {
+    /// Counted against the room that all connections share.
+    held: Held,
     last: i32,
     kept: BTreeMap<i32, (String, String)>,
     bytes: usize,
 }
 
 impl Prepared {
-    pub fn new() -> Prepared {
-        Prepared { last: 0, kept: BTreeMap::new(), bytes: 0 }
+    pub fn new(room: &Room) -> Prepared {
+        Prepared { held: Held::new(room), last: 0, kept: BTreeMap::new(), bytes: 0 }
     }
 
     /// Keeps a statement and the declarations of its parameters; none where it has no room.
     pub fn keep(&mut self, statement: &str, declarations: &str) -> Option<i32> {
         let bytes = statement.len() + declarations.len() + EACH;
-        if self.bytes + bytes > MOST_BYTES {
+        if self.bytes + bytes > MOST_BYTES || !self.held.is(self.bytes + bytes) {
             return None;
         }
         self.bytes += bytes;
@@ -41,6 +44,7 @@
         let found = i32::try_from(handle).ok().and_then(|handle| self.kept.remove(&handle));
         if let Some((statement, declarations)) = &found {
             self.bytes -= statement.len() + declarations.len() + EACH;
+            self.held.is(self.bytes);
         }
         found.is_some()
     }
@@ -48,5 +52,6 @@
     pub fn clear(&mut self) {
         self.kept.clear();
         self.bytes = 0;
+        self.held.is(0);
     }
 }
--- a/crates/comethitchd/src/protocols/tds/take_in.rs
+++ b/crates/comethitchd/src/protocols/tds/take_in.rs
@@ -32,6 +32,8 @@
 const LARGEST_REQUEST: usize = 512 * 1024;
 /// The collation that clients are told: Latin, without regard to case.
 const COLLATION: [u8; 5] = [0x09, 0x04, 0xd0, 0x00, 0x34];
+/// Options that a client sets at once are not longer than this.
+const LONGEST_SETTINGS: usize = 4 * 1024;
 const SERVER: &str = "comethitch";
 /// A DONE token's length.
 const DONE_BYTES: usize = 13;
@@ -42,7 +44,6 @@
     /// The size of packets that was settled.
     packet: usize,
     prepared: Prepared,
-    lexer: Lexer,
 }
 
 /// What a message asks for.
@@ -79,8 +80,8 @@
     hub: Rc<Hub>, ways: Rc<Ways>, stream: Async<TcpStream>, permit: Permit,
 ) -> impl Future<Output = ()> {
     let line = Line::new(hub, stream, permit, LARGEST_SIZE + 1);
-    let (prepared, lexer) = (Prepared::new(), Lexer::new(Dialect::Tsql));
-    run(Client { line, ways, packet: FIRST_SIZE, prepared, lexer })
+    let prepared = Prepared::new(&line.hub.room);
+    run(Client { line, ways, packet: FIRST_SIZE, prepared })
 }
 
 async fn run(mut client: Client) {
@@ -239,10 +240,8 @@
             let why = "this connection is in no transaction";
             return Ok(Request::Refused(why.into(), Called::No));
         }
-        self.lexer.read(batch.text.as_bytes());
-        let empty = self.lexer.tokens().is_empty() && self.lexer.doubt().is_none();
         // Options of a session have no effect here: each command finds the session as new.
-        if empty || only_settings(&self.lexer) {
+        if is_empty_or_settings(&batch.text) {
             let mut tokens = Vec::new();
             put_done(&mut tokens, code::DONE, 0, 0);
             return Ok(Request::Here(tokens));
@@ -404,6 +403,23 @@
     }
 }
 
+/// Whether a batch holds nothing, or options of a session alone. Only what is short and begins so is read for it: the
+/// desk reads the others.
+fn is_empty_or_settings(text: &str) -> bool {
+    let begins = text.trim_start().as_bytes();
+    let may_be = match begins {
+        [] | [b';' | b'-' | b'/', ..] => true,
+        [a, b, c, ..] => [*a, *b, *c].eq_ignore_ascii_case(b"set"),
+        _ => false,
+    };
+    if !may_be || text.len() > LONGEST_SETTINGS {
+        return false;
+    }
+    let mut lexer = Lexer::new(Dialect::Tsql);
+    lexer.read(text.as_bytes());
+    lexer.tokens().is_empty() && lexer.doubt().is_none() || only_settings(&lexer)
+}
+
 /// A prepared statement's execution as a call that any host can take.
 fn executed(call: &Call, payload: &[u8], text: &str, declarations: &str, called: Called) -> Request {
     let mut own = Vec::new();
--- a/crates/comethitchd/src/stages/learn.rs
+++ b/crates/comethitchd/src/stages/learn.rs
@@ -69,6 +69,15 @@
         return Ok(());
     }
     let rules = site.statements.clone();
+    // The protocol spoken has one language, and the room for buffers was reckoned with this cache.
+    if let (Some(old), Some(new)) = (desk.as_ref().map(Desk::rules), &rules) {
+        if old.dialect != new.dialect {
+            return Err("dialect has changed, which needs a new start".into());
+        }
+        if new.cache.kib > old.cache.kib {
+            return Err("cache.kib has grown, which needs a new start".into());
+        }
+    }
     *desk = rules.map(|rules| hub.site.desk_by(rules, hub.clock.now())).transpose()?;
     log::info!("statements are judged by {} rules from now on", if desk.is_some() { "other" } else { "no" });
     Ok(())
--- a/crates/comethitchd/tests/tds.rs
+++ b/crates/comethitchd/tests/tds.rs
@@ -189,7 +189,7 @@
     let statement = "INSERT INTO t (a, b) VALUES ('p', @a)";
     let mut payload = Vec::new();
     CallWriter::known(&mut payload, Known::Prepare)
-        .out("@h")
+        .out("@handle")
         .text("", "@a int")
         .text("", statement)
         .integer("", Some(1));
@@ -205,7 +205,7 @@
     assert_eq!(primary.next(), statement);
     // Prepared and executed in one: the handle comes back with the answer.
     let mut payload = Vec::new();
-    let both = CallWriter::known(&mut payload, Known::PrepareExecute).out("@h").text("", "@a int");
+    let both = CallWriter::known(&mut payload, Known::PrepareExecute).out("@handle").text("", "@a int");
     both.text("", statement).integer("@a", Some(3));
     let told = send(&mut client, &payload);
     let at = |wanted: &Token| told.iter().position(|token| token == wanted);
