Name a statement's session by its key, whatever literal comes first

Cause: the session was the first quoted text, as on the platform, so that a statement with another literal before its key was read under a session that was none, and a parameter was never one. Change: where tables lie by a key, the one value of it names the session. Result: a test with the key behind other literals, and with several keys.

--- a/crates/comethitch-statement/src/assign.rs
+++ b/crates/comethitch-statement/src/assign.rs
@@ -137,6 +137,8 @@
     /// The command group, by its place in the deployment.
     pub group: usize,
     pub shard: Shard,
+    /// The session, as the hash of the one key that its tables lie by; none where there is no key, or several.
+    pub session: Option<u64>,
     /// Its comment named a command group that allows less.
     pub raised: bool,
 }
@@ -232,13 +234,13 @@
             }
             told => (self.group(verdict, band).ok_or(Refusal::NoGroup { effect, why })?, told.is_some()),
         };
-        let found = self.hosts(verdict, values, told_shard.is_some())?;
+        let (found, session) = self.hosts(verdict, values, told_shard.is_some())?;
         let shard = match (told_shard, found) {
             (Some(told), Some(found)) if told != found => return Err(Refusal::OtherHosts { told, found }),
             (Some(shard), _) | (None, Some(shard)) => shard,
             (None, None) => self.elsewhere.ok_or(Refusal::NoHosts)?,
         };
-        Ok(Assigned { group, shard, raised })
+        Ok(Assigned { group, shard, session, raised })
     }
 
     fn group(&self, verdict: &Verdict, band: u8) -> Option<usize> {
@@ -258,26 +260,33 @@
 
     /// The group of hosts in which all of the statement's keys lie; none if it uses no table that has one. A
     /// comment that tells it makes up for keys that can't be seen, but not for those that lie elsewhere.
-    fn hosts(&self, verdict: &Verdict, values: &dyn Values, told: bool) -> Result<Option<Shard>, Refusal> {
+    fn hosts(
+        &self, verdict: &Verdict, values: &dyn Values, told: bool,
+    ) -> Result<(Option<Shard>, Option<u64>), Refusal> {
         if self.keys.is_empty() {
-            return Ok(None);
+            return Ok((None, None));
         }
         if !verdict.parsed {
-            return if told { Ok(None) } else { Err(Refusal::NotParsed { why: verdict.why.to_string() }) };
+            return if told {
+                Ok((None, None))
+            } else {
+                Err(Refusal::NotParsed { why: verdict.why.to_string() })
+            };
         }
-        let mut found = None;
+        let (mut found, mut sessions) = (None, Vec::new());
         for a_use in &verdict.uses {
             let Some(rule) = self.keys.iter().find(|rule| rule.tables.iter().any(|t| **t == *a_use.table))
             else {
                 continue;
             };
-            let Some(shards) = shards(rule, a_use, values) else {
+            let Some((shards, keys)) = shards(rule, a_use, values) else {
                 if told {
                     continue;
                 }
                 let (table, column) = (a_use.table.to_string(), rule.column.clone());
                 return Err(Refusal::NoKey { table, column });
             };
+            sessions.extend(keys);
             for shard in shards {
                 match found {
                     Some(first) if first != shard => {
@@ -287,7 +296,10 @@
                 }
             }
         }
-        Ok(found)
+        sessions.sort_unstable();
+        sessions.dedup();
+        let session = if let [one] = sessions[..] { Some(one) } else { None };
+        Ok((found, session))
     }
 }
 
@@ -323,21 +335,23 @@
     }
 }
 
-/// The groups of hosts of a use's key; none if it has no key, or one whose value is not known.
-fn shards(rule: &KeyRule, a_use: &TableUse, values: &dyn Values) -> Option<Vec<Shard>> {
-    let mut best: Option<Vec<Shard>> = None;
+/// The groups of hosts of a use's key, and the hashes of its values; none if it has no key, or one whose value is
+/// not known.
+fn shards(rule: &KeyRule, a_use: &TableUse, values: &dyn Values) -> Option<(Vec<Shard>, Vec<u64>)> {
+    let mut best: Option<(Vec<Shard>, Vec<u64>)> = None;
     for key in a_use.keys.iter().filter(|key| *key.column == *rule.column) {
-        let mut shards = Vec::new();
+        let (mut shards, mut hashes) = (Vec::new(), Vec::new());
         for placeholder in &key.placeholders {
             for value in values.of(*placeholder)? {
                 shards.push(shard(&rule.spread, &value)?);
+                hashes.push(fnv1a(&value).max(1));
             }
         }
         shards.sort_unstable();
         shards.dedup();
         // Of two conditions on one column, both hold: the narrower one says more.
-        if best.as_ref().is_none_or(|best| shards.len() < best.len()) {
-            best = Some(shards);
+        if best.as_ref().is_none_or(|(best, _)| shards.len() < best.len()) {
+            best = Some((shards, hashes));
         }
     }
     best
--- a/crates/comethitch-statement/tests/rules.rs
+++ b/crates/comethitch-statement/tests/rules.rs
@@ -84,6 +84,17 @@
     }
 }
 
+#[test]
+fn the_key_names_the_session_whatever_literal_comes_first() {
+    let mut desk = desk(&rules()).expect("rules");
+    let mut session = |text: &str| admit(&mut desk, text, None).expect(text).assigned.session;
+    let ana = Some(fnv1a(b"ana"));
+    assert_eq!(session("UPDATE saldos SET nota = 'x' WHERE lector = 'ana'"), ana);
+    assert_eq!(session("SELECT n FROM saldos WHERE nota <> 'y' AND lector = 'ana'"), ana);
+    assert_eq!(session("SELECT n FROM saldos WHERE lector IN ('ana', 'eva')"), None);
+    assert_eq!(session("SELECT 'ana' FROM series"), None);
+}
+
 #[test]
 fn what_would_touch_two_groups_of_hosts_or_names_none_is_refused_with_its_reason() {
     let mut desk = desk(&rules()).expect("rules");
--- a/crates/comethitchd/src/stages/admit.rs
+++ b/crates/comethitchd/src/stages/admit.rs
@@ -120,7 +120,7 @@
     Ok(Admitted {
         group: passed.assigned.group,
         shard: passed.assigned.shard,
-        session: statement::session(text),
+        session: passed.assigned.session.unwrap_or_else(|| statement::session(text)),
         after: fields.after_ms.map(|ms| Time(ms.saturating_mul(1_000))),
         expiry: asked.arrived + Span(wait_ms * 1_000),
         name,
