Try what SIGHUP must not change, sharpen a weak test, and drop what nothing uses

Cause, found on reading the change once more: the refusal of another dialect or a larger cache had no test; the last assertion on reads under resets was nearly always met; two functions and a field of the desk were used by nothing.

--- a/crates/comethitch-statement/src/assign.rs
+++ b/crates/comethitch-statement/src/assign.rs
@@ -4,7 +4,6 @@
 //! may be sent again takes nothing that a second run could harm. Rules that would break this are turned down when
 //! they are read, and a comment that would is refused, or raised to the group that the rules name.
 
-use crate::cost::Pace;
 use crate::lexer::{Form, Lexer};
 use crate::rules::{Bound, Disagreement, KeyRule, Rules, Spread};
 use crate::verdict::TableUse;
@@ -211,12 +210,6 @@
         &self.bounds
     }
 
-    /// The band that a cost is in, before any answer has come.
-    pub fn guessed_band(&self, verdict: &Verdict, pace: Pace) -> u8 {
-        let cost = pace.cost(verdict.features.guess());
-        self.bounds.iter().take_while(|bound| cost >= **bound).count() as u8
-    }
-
     /// Where a statement goes, by its verdict and band of cost, and by what its comment told, if it has one.
     /// `values` gives the values of a placeholder.
     pub fn assign(
--- a/crates/comethitch-statement/src/desk.rs
+++ b/crates/comethitch-statement/src/desk.rs
@@ -79,8 +79,6 @@
     pub known: Rc<Known>,
     pub key: ShapeKey,
     pub path: Path,
-    /// The band of cost that it counts to, from the lowest.
-    pub band: u8,
 }
 
 /// Why a statement has not passed.
@@ -157,10 +155,6 @@
         &self.rules
     }
 
-    pub fn lexer(&self) -> &Lexer {
-        &self.lexer
-    }
-
     /// The bytes that the shapes known hold.
     pub fn held(&self) -> usize {
         self.cache.held()
@@ -252,7 +246,7 @@
         let guess = known.verdict.features.guess();
         let band = known.cost.borrow_mut().band(self.assignment.bounds(), self.pace.get(), guess);
         let assigned = self.assignment.assign(&known.verdict, band, (told.group, told.shard), values)?;
-        Ok(Passed { assigned, known, key, path, band })
+        Ok(Passed { assigned, known, key, path })
     }
 
     /// A host has answered a statement of this shape after so long.
@@ -263,14 +257,6 @@
         self.pace.set(pace);
     }
 
-    /// The cost of a shape as it is known now, and whether that was learned or guessed.
-    pub fn cost(&self, known: &Known) -> (Span, bool) {
-        match known.cost.borrow().learned() {
-            Some(cost) => (cost, true),
-            None => (self.pace.get().cost(known.verdict.features.guess()), false),
-        }
-    }
-
     /// The name of an effect by its place in [`Done::effects`].
     pub const EFFECTS: [Effect; 5] =
         [Effect::Read, Effect::LockingRead, Effect::Session, Effect::Unknown, Effect::Write];
--- a/crates/comethitchd/tests/statements.rs
+++ b/crates/comethitchd/tests/statements.rs
@@ -131,9 +131,10 @@
         let alike = corpus().iter().filter(|other| other.sql == row.sql).count();
         assert!(often <= 4 * alike, "{} came {often} times", row.sql);
     }
-    let repeated = corpus().iter().any(|row| row.effect == "read" && at_replica.often(&row.sql) > 4);
-    let spread = corpus().iter().any(|row| row.effect == "read" && at_primary.often(&row.sql) > 0);
-    assert!(repeated || spread, "reads are tried again");
+    // Bare and under three claims a read came four times, and where it met a reset once more.
+    let more =
+        |row: &&Row| row.effect == "read" && at_primary.often(&row.sql) + at_replica.often(&row.sql) > 4;
+    assert!(corpus().iter().filter(more).count() > 10, "reads are tried again");
 }
 
 #[test]
@@ -297,6 +298,13 @@
         program.logs(&format!("stays as it was: {}: {key}", file.display()));
         assert_eq!(client.ask("SELECT 1"), Got::Error("42601".into()), "the rules before hold on");
     }
+    for (key, change) in [("dialect", json!("tsql")), ("cache", json!({"kib": 8192}))] {
+        let mut fixed = rules.clone();
+        fixed[key] = change;
+        put(&fixed);
+        program.signal("HUP");
+        program.logs(&format!("stays as it was: {key}"));
+    }
     rules["commentless"] = json!({"wait_ms": 900});
     put(&rules);
     program.signal("HUP");
