Tell why each command was given up, log it with the request's id, and sum logs by reason

The module tells the outlet a GivenUp reason just before the final answer (no_primary, no_time_to_wait, time_up, long_in_line, lost_primary, not_again); the daemon logs 'given up' with id, why and answer as fields and counts given_up_<why> in its counts line; at_limit and statement_budget are the daemon's own. 'comethitch trail LOGS' sums reasons and counts per answered command over many routers' logs, or follows one id with --id.

--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -291,6 +291,38 @@
     }
 }
 
+/// Why the module gave a command up, and so which of its checks to look at when many are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GivenUp {
+    /// Only the primary could take it, and no primary is believed to serve: Failover, or none found yet.
+    NoPrimary,
+    /// It had to wait, and its time would be out before the next look at it.
+    NoTimeToWait,
+    /// Its time was out, less one beat for the answer to reach the client.
+    TimeUp,
+    /// It waited in line so long that any answer could only come late: a retry elsewhere may still be of use.
+    LongInLine,
+    /// A mutating write was out at a primary that was lost: it may have run.
+    LostPrimary,
+    /// Its dispatch ended without an answer, and it may not go again: by its effect, errors of its own, or
+    /// too little time.
+    NotAgain,
+}
+
+impl GivenUp {
+    /// The name in logs and counts, in snake case: `no_primary` and so on.
+    pub fn name(self) -> &'static str {
+        match self {
+            GivenUp::NoPrimary => "no_primary",
+            GivenUp::NoTimeToWait => "no_time_to_wait",
+            GivenUp::TimeUp => "time_up",
+            GivenUp::LongInLine => "long_in_line",
+            GivenUp::LostPrimary => "lost_primary",
+            GivenUp::NotAgain => "not_again",
+        }
+    }
+}
+
 /// What the decisions act through. An implementation carries each call out; it decides nothing.
 pub trait Outlet {
     fn now(&self) -> Time;
@@ -301,6 +333,9 @@
     fn throttle(&mut self, cmd: CommandId, retry_after: Option<Span>);
     /// Final answer: failed, with nothing said of its effect.
     fn fail(&mut self, cmd: CommandId);
+    /// Told just before [`Outlet::throttle`] or [`Outlet::fail`]: which check gave the command up. Only for
+    /// logs and counts; an implementation that keeps nothing of it may leave it out.
+    fn given_up(&mut self, _cmd: CommandId, _why: GivenUp) {}
     fn probe(&mut self, host: Host);
     fn close_idle(&mut self, host: Host);
     /// Asks for a call of [`Router::woken`] after this span.
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -7,7 +7,7 @@
 #![allow(clippy::too_many_arguments)]
 
 use crate::{CommandGroup, CommandId, Deployment, Effect, Ending, Guards, Host, Lifecycle, Need, Outlet};
-use crate::{Reach, Role, Shard, Standing, chance::Chance, commits::Commits, histogram::Histogram};
+use crate::{GivenUp, Reach, Role, Shard, Standing, chance::Chance, commits::Commits, histogram::Histogram};
 use crate::{time::Span, time::Time};
 use std::collections::BTreeMap;
 
@@ -357,9 +357,9 @@
         let (first, ends) = (command.dispatches.is_empty(), command.expiry);
         match self.way(id, out.now()) {
             Way::To(i) if first || self.further_saved >= 1.0 => self.send(id, i, out),
-            Way::Refused => self.give_up(id, out),
+            Way::Refused => self.give_up(id, GivenUp::NoPrimary, out),
             // Too short a time to wait in line: the next look at it could come after its client timeout.
-            _ if ends <= out.now() + self.beat * 2 => self.give_up(id, out),
+            _ if ends <= out.now() + self.beat * 2 => self.give_up(id, GivenUp::NoTimeToWait, out),
             _ => {
                 let command = self.commands.get_mut(&id).expect("looked up above");
                 if !std::mem::replace(&mut command.waiting, true) {
@@ -389,7 +389,7 @@
                 let barred = stuck.contains(&kind) || (further == 1 && self.further_saved < 1.0);
                 match if barred { Way::Wait } else { self.way(id, out.now()) } {
                     Way::To(i) => self.send(id, i, out),
-                    Way::Refused => self.give_up(id, out),
+                    Way::Refused => self.give_up(id, GivenUp::NoPrimary, out),
                     Way::Wait => {
                         stuck.extend((!barred).then_some(kind));
                         left.push(id);
@@ -422,9 +422,10 @@
         out.dispatch(id, node.host, time_out);
     }
 
-    fn give_up(&mut self, id: CommandId, out: &mut dyn Outlet) {
+    fn give_up(&mut self, id: CommandId, why: GivenUp, out: &mut dyn Outlet) {
         let Some(command) = self.commands.get_mut(&id).filter(|c| !c.done) else { return };
         command.done = true;
+        out.given_up(id, why);
         let group = &self.deployment.groups[command.group];
         let harmless = group.effect == Effect::Replayable
             || command.maybe_ran().next().is_none()
@@ -868,7 +869,7 @@
         let Some(command) = self.commands.get(&id).filter(|c| !c.done) else { return };
         let kind = &self.deployment.groups[command.group];
         if now + self.beat >= command.expiry {
-            return self.give_up(id, out);
+            return self.give_up(id, GivenUp::TimeUp, out);
         }
         let Some(one) = command.out().next() else {
             // In line: a command that could only be late is given up while a retry can still be of use.
@@ -879,7 +880,7 @@
             };
             let usual = self.took[command.group].quantile(0.8).unwrap_or(kind.target / 4);
             if command.taken + in_hand < now + usual {
-                self.give_up(id, out);
+                self.give_up(id, GivenUp::LongInLine, out);
             }
             return;
         };
@@ -890,7 +891,7 @@
         // A mutating write left with a lost primary may have run: it is failed.
         let left = group.state == State::Failover && group.primary == Some(one.node);
         if left && kind.effect == Effect::Mutating && (node.mute || node.lost()) {
-            return self.give_up(id, out);
+            return self.give_up(id, GivenUp::LostPrimary, out);
         }
         let hedged = kind.effect == Effect::Replayable
             && (node.mute || node.lost() || node.slowness() > SLOW && now - one.sent > kind.target / 2)
@@ -998,7 +999,7 @@
             // Errors spread over all hosts are the commands' fault: what erred here would err at the next.
             let own_fault = ending == Ending::Error && router.errors > ERRORS_RARE;
             let on = may_repeat && !own_fault && now + router.beat < command.expiry;
-            if on { router.place(self.0, out) } else { router.give_up(self.0, out) }
+            if on { router.place(self.0, out) } else { router.give_up(self.0, GivenUp::NotAgain, out) }
         }
         router.serve_lines(out);
     }
--- a/crates/comethitch/tests/scenarios.rs
+++ b/crates/comethitch/tests/scenarios.rs
@@ -12,13 +12,14 @@
 //! held 1.0 may|not             a dispatch held up on its way may still go now, or may not
 //! left 1                       the client went away
 //! expect dispatch 1 b|c        an act since the last `at`, in this order; a word may list alternatives
+//! expect throttle 1 time_up    a final answer names the check that gave the command up, then any advice
 //! never throttle 1             no such act since the last `at`; `*` stands for any word
 //! atmost 9 dispatch * b        no more such acts than this since the last `at`
 //! repeat 20 { ... }            on one line, steps parted by `;`, `%` stands for the round's number
 //! ```
 
 use comethitch::time::{Span, Time};
-use comethitch::{CommandId, Deployment, Ending, Host, Lifecycle, Outlet, Role, Router, Standing};
+use comethitch::{CommandId, Deployment, Ending, GivenUp, Host, Lifecycle, Outlet, Role, Router, Standing};
 use std::{fs, path::Path};
 
 const START: Time = Time(1_000_000_000);
@@ -63,6 +64,15 @@
     now: Time,
     said: Vec<String>,
     wakes: Vec<Time>,
+    /// The reason told for the final answer that comes next.
+    why: Option<(CommandId, GivenUp)>,
+}
+
+impl Acts {
+    /// The reason told before a final answer, `untold` where none was for this command.
+    fn why(&mut self, cmd: CommandId) -> &'static str {
+        self.why.take().filter(|(of, _)| *of == cmd).map_or("untold", |(_, why)| why.name())
+    }
 }
 
 impl Outlet for Acts {
@@ -77,10 +87,15 @@
     }
     fn throttle(&mut self, cmd: CommandId, retry_after: Option<Span>) {
         let advice = retry_after.map_or("now".into(), |after| format!("later {}ms", after.0 / 1000));
-        self.said.push(format!("throttle {cmd} {advice}"));
+        let why = self.why(cmd);
+        self.said.push(format!("throttle {cmd} {why} {advice}"));
     }
     fn fail(&mut self, cmd: CommandId) {
-        self.said.push(format!("fail {cmd}"));
+        let why = self.why(cmd);
+        self.said.push(format!("fail {cmd} {why}"));
+    }
+    fn given_up(&mut self, cmd: CommandId, why: GivenUp) {
+        self.why = Some((cmd, why));
     }
     fn probe(&mut self, host: Host) {
         self.said.push(format!("probe {}", name(host)));
@@ -306,6 +321,10 @@
                 break;
             }
         }
+        // Each final answer names the check that gave its command up, so that logs can count them.
+        if let Some(act) = play.acts.said.iter().find(|act| act.contains(" untold")) {
+            failures.push(format!("{}: a final answer without its reason: {act}", file.display()));
+        }
     }
     assert!(!files.is_empty() && failures.is_empty(), "{}", failures.join("\n"));
 }
--- a/crates/comethitchd/src/bin/comethitch.rs
+++ b/crates/comethitchd/src/bin/comethitch.rs
@@ -4,6 +4,7 @@
 use comethitch_statement::Rules;
 use comethitchd::protocols::tds::ways::Ways;
 use comethitchd::service::classify::Classify;
+use comethitchd::service::trail::TrailCommand;
 use std::process::ExitCode;
 
 /// Tools around the query router.
@@ -18,6 +19,7 @@
 enum Command {
     Classify(Classify),
     Schema(Schema),
+    Trail(TrailCommand),
 }
 
 /// Print the schema of an operator's file.
@@ -46,6 +48,7 @@
     let done = match argh::from_env::<Line>().command {
         Command::Classify(classify) => classify.run(),
         Command::Schema(schema) => schema.run(),
+        Command::Trail(trail) => trail.run(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/comethitchd/src/memory/hub.rs
+++ b/crates/comethitchd/src/memory/hub.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    /// Counts and logs a command that the router turned away before the module saw it: `at_limit` where
+    /// [`Hub::is_full`], `statement_budget` where its client's budget for judging statements was spent.
+    pub fn turned_away(&self, id: &str, why: &'static str) {
+        count_kind(&self.tally.given_up, why);
+        log::info!(id, why, answer = "throttled"; "given up");
+    }
+
     /// Whether as many commands are in hand as connections allow. Past that, clients' connections are still
     /// accepted, and their commands throttled at once.
     pub fn is_full(&self) -> bool {
--- a/crates/comethitchd/src/memory/tally.rs
+++ b/crates/comethitchd/src/memory/tally.rs
@@ -17,6 +17,8 @@
     pub probes_failed: Cell<u64>,
     pub connected: Cell<u64>,
     pub endings: RefCell<Vec<(Ending, u64)>>,
+    /// Commands given up, by the check that did: the module's reasons and the router's own `at_limit`.
+    pub given_up: RefCell<Vec<(&'static str, u64)>>,
     /// By host, what was neither answered nor called off; probes too.
     pub troubles: RefCell<Vec<((Host, Ending), u64)>>,
 }
@@ -53,6 +55,8 @@
         let endings = self.endings.take().into_iter();
         let endings =
             endings.map(|(ending, number)| (format!("dispatches_{ending:?}").to_lowercase(), number));
-        counts.chain(endings).filter(|(_, number)| *number > 0).collect()
+        let given_up =
+            self.given_up.take().into_iter().map(|(why, number)| (format!("given_up_{why}"), number));
+        counts.chain(endings).chain(given_up).filter(|(_, number)| *number > 0).collect()
     }
 }
--- a/crates/comethitchd/src/protocols/postgres/take_in.rs
+++ b/crates/comethitchd/src/protocols/postgres/take_in.rs
@@ -122,8 +122,9 @@
                 Asked { text: &text, arguments: &[], arrived: self.line.arrived, origin: self.line.origin };
             match admit::admit(&self.line.hub, &asked) {
                 // A hard limit: no decision is asked for.
-                Ok(_) if self.line.hub.is_full() => {
+                Ok(admitted) if self.line.hub.is_full() => {
                     count(&self.line.hub.tally.at_limit);
+                    self.line.hub.turned_away(&admitted.name, "at_limit");
                     put_reply(&mut out, Reply::Throttled(None));
                 }
                 Ok(admitted) => {
@@ -149,6 +150,7 @@
                 }
                 Err(NotTaken::Throttled) => {
                     count(&self.line.hub.tally.throttled);
+                    self.line.hub.turned_away("", "statement_budget");
                     put_reply(&mut out, Reply::Throttled(None));
                 }
                 Err(NotTaken::Rejected(rejected)) => {
--- a/crates/comethitchd/src/protocols/tds/take_in.rs
+++ b/crates/comethitchd/src/protocols/tds/take_in.rs
@@ -330,6 +330,7 @@
             Ok(admitted) => admitted,
             Err(NotTaken::Throttled) => {
                 count(&hub.tally.throttled);
+                hub.turned_away("", "statement_budget");
                 put_reply(tokens, Reply::Throttled(None), numbers, called, true);
                 return Ok(true);
             }
@@ -341,6 +342,7 @@
         // A hard limit: no decision is asked for.
         if hub.is_full() {
             count(&hub.tally.at_limit);
+            hub.turned_away(&admitted.name, "at_limit");
             put_reply(tokens, Reply::Throttled(None), numbers, called, true);
             return Ok(true);
         }
--- a/crates/comethitchd/src/service/mod.rs
+++ b/crates/comethitchd/src/service/mod.rs
@@ -3,4 +3,5 @@
 pub mod classify;
 pub mod listen;
 pub mod logger;
+pub mod trail;
 pub mod watch;
--- a/crates/comethitchd/src/stages/route.rs
+++ b/crates/comethitchd/src/stages/route.rs
@@ -4,20 +4,20 @@
 use crate::memory::commands::{Reply, Statement};
 use crate::memory::connection::ConnectionEnd;
 use crate::memory::hub::Hub;
-use crate::memory::tally::count;
+use crate::memory::tally::{count, count_kind};
 use crate::memory::tongue::Outcome;
 use crate::stages::admit::Admitted;
 use crate::stages::{book, relay};
 use async_channel::Receiver;
 use async_io::Timer;
 use comethitch::time::{Span, Time};
-use comethitch::{CommandId, Ending, Host, Outlet, Router, Standing};
+use comethitch::{CommandId, Ending, GivenUp, Host, Outlet, Router, Standing};
 use std::rc::Rc;
 
 enum Act {
     Dispatch(CommandId, Host, Span),
     Cancel(CommandId, u16),
-    Final(CommandId, Reply),
+    Final(CommandId, Reply, Option<GivenUp>),
     Probe(Host),
     CloseIdle(Host),
     Wake(Span),
@@ -27,11 +27,13 @@
 pub struct Acts {
     now: Time,
     queue: Vec<Act>,
+    /// The module's reason for the final answer that it gives next.
+    why: Option<(CommandId, GivenUp)>,
 }
 
 impl Acts {
     pub fn at(now: Time) -> Acts {
-        Acts { now, queue: Vec::new() }
+        Acts { now, queue: Vec::new(), why: None }
     }
 }
 
@@ -49,11 +51,17 @@
     }
 
     fn throttle(&mut self, cmd: CommandId, retry_after: Option<Span>) {
-        self.queue.push(Act::Final(cmd, Reply::Throttled(retry_after)));
+        let why = self.why.take().filter(|(of, _)| *of == cmd).map(|(_, why)| why);
+        self.queue.push(Act::Final(cmd, Reply::Throttled(retry_after), why));
     }
 
     fn fail(&mut self, cmd: CommandId) {
-        self.queue.push(Act::Final(cmd, Reply::Failed));
+        let why = self.why.take().filter(|(of, _)| *of == cmd).map(|(_, why)| why);
+        self.queue.push(Act::Final(cmd, Reply::Failed, why));
+    }
+
+    fn given_up(&mut self, cmd: CommandId, why: GivenUp) {
+        self.why = Some((cmd, why));
     }
 
     fn probe(&mut self, host: Host) {
@@ -92,8 +100,16 @@
                 let task = hub.commands.borrow_mut().take_dispatch(id, nth);
                 at_once.extend(task.map(|_| (id, nth, ConnectionEnd::GivenUp)));
             }
-            Act::Final(id, reply) => {
-                relay::answer(hub, id, reply);
+            Act::Final(id, reply, why) => {
+                let how = if matches!(reply, Reply::Throttled(_)) { "throttled" } else { "failed" };
+                let name = hub.commands.borrow().statement(id).map(|statement| statement.name.clone());
+                if relay::answer(hub, id, reply)
+                    && let Some(why) = why
+                {
+                    count_kind(&hub.tally.given_up, why.name());
+                    let id = name.unwrap_or_default();
+                    log::info!(id, why = why.name(), answer = how; "given up");
+                }
             }
             Act::Probe(host) => hub.back.probe(hub, host),
             Act::CloseIdle(host) => {
