Count turned-away commands once, order a followed id by its time, bound the log sums

A command turned away at the limit was counted both as throttled_at_limit and as given_up_at_limit. And nonsense reasons or count names in a log could grow the sums without bound. Change: turned_away only logs (the counters already there count it); lines are ordered by their RFC 3339 time in either form; at most 1,024 reasons and count names, the rest counted as unread.

--- a/crates/comethitchd/src/memory/hub.rs
+++ b/crates/comethitchd/src/memory/hub.rs
@@ -166,10 +166,10 @@
         }
     }
 
-    /// Counts and logs a command that the router turned away before the module saw it: `at_limit` where
-    /// [`Hub::is_full`], `statement_budget` where its client's budget for judging statements was spent.
+    /// Logs a command that the router turned away before the module saw it: `at_limit` where [`Hub::is_full`],
+    /// `statement_budget` where its client's budget for judging statements was spent (its id is not read yet:
+    /// empty). Counted where it is turned away, as `throttled_at_limit` and `throttled`, not twice.
     pub fn turned_away(&self, id: &str, why: &'static str) {
-        count_kind(&self.tally.given_up, why);
         log::info!(id, why, answer = "throttled"; "given up");
     }
 
--- a/crates/comethitchd/src/memory/tally.rs
+++ b/crates/comethitchd/src/memory/tally.rs
@@ -17,7 +17,7 @@
     pub probes_failed: Cell<u64>,
     pub connected: Cell<u64>,
     pub endings: RefCell<Vec<(Ending, u64)>>,
-    /// Commands given up, by the check that did: the module's reasons and the router's own `at_limit`.
+    /// Commands that the module gave up, by its reason; those turned away before it are counted above.
     pub given_up: RefCell<Vec<(&'static str, u64)>>,
     /// By host, what was neither answered nor called off; probes too.
     pub troubles: RefCell<Vec<((Host, Ending), u64)>>,
--- a/crates/comethitchd/src/service/trail.rs
+++ b/crates/comethitchd/src/service/trail.rs
@@ -23,6 +23,9 @@
 const LONGEST_KEPT: usize = 4096;
 /// Lines kept for one id: a request that is tried again and again keeps its first ones.
 const MOST_KEPT: usize = 10_000;
+/// Reasons and count fields told apart: past these, lines with new names are skipped and counted as unread, so
+/// that a log of nonsense can't grow the sums without bound.
+const MOST_NAMES: usize = 1024;
 
 /// Sum up many routers' logs: why commands were given up, and what an answer cost; or follow one id.
 #[derive(FromArgs)]
@@ -83,13 +86,19 @@
         match line.message.as_str() {
             "given up" => {
                 let (why, answer) = (field("why").unwrap_or("untold"), field("answer").unwrap_or("untold"));
-                *self.reasons.entry((why.to_string(), answer.to_string())).or_default() += 1;
+                let key = (why.to_string(), answer.to_string());
+                if self.reasons.len() >= MOST_NAMES && !self.reasons.contains_key(&key) {
+                    self.unread += 1;
+                    return;
+                }
+                *self.reasons.entry(key).or_default() += 1;
                 *self.by_router.entry(router.to_string()).or_default() += 1;
             }
             "counts" => {
                 for (key, value) in &line.fields {
                     if let Ok(number) = value.parse::<u64>()
                         && !key.starts_with("now_")
+                        && (self.counts.len() < MOST_NAMES || self.counts.contains_key(key))
                     {
                         *self.counts.entry(key.clone()).or_default() += number;
                     }
@@ -133,6 +142,17 @@
     }
 }
 
+/// A line's time of RFC 3339 in UTC, which orders as text; empty where it has none. The bench's own clock
+/// that may stand before it is no such time: `10.2` would come before `9.8`.
+fn stamp(line: &str) -> &str {
+    if let Some(at) = line.find("\"timestamp\":\"") {
+        let rest = &line[at + 13..];
+        return rest.split('"').next().unwrap_or_default();
+    }
+    let rfc = |word: &&str| word.len() >= 20 && word.as_bytes()[4] == b'-' && word.as_bytes()[10] == b'T';
+    line.split_whitespace().find(rfc).unwrap_or_default()
+}
+
 /// A line of the text form: `[bench time] time LEVEL target: file:line message key=value ...`, or a JSON
 /// object with `message` and `kvs`.
 fn parse(text: &str) -> Option<Line<'_>> {
@@ -187,8 +207,7 @@
         match &self.id {
             Some(id) if trail.followed.is_empty() => return Err(format!("no line names id={id}")),
             Some(_) => {
-                // Lines start with their time in both forms, so that ordering them by text orders them in time.
-                trail.followed.sort_by(|a, b| a.1.cmp(&b.1));
+                trail.followed.sort_by(|a, b| stamp(&a.1).cmp(stamp(&b.1)));
                 trail.followed.iter().for_each(|(router, line)| println!("{router}: {line}"));
             }
             None => trail.summary().iter().for_each(|line| println!("{line}")),
@@ -226,6 +245,29 @@
         assert_eq!(trail.per_answered("connected"), Some(0.5));
     }
 
+    #[test]
+    fn lines_are_ordered_by_their_time_and_not_by_the_bench_clock_before_it() {
+        let later =
+            "10.2 2026-12-01T20:00:10.2+00:00 INFO c::r: r.rs:1 given up id=1 why=time_up answer=throttled";
+        let sooner =
+            "9.8 2026-12-01T20:00:09.8+00:00 INFO c::r: r.rs:1 given up id=1 why=time_up answer=throttled";
+        let json = r#"{"timestamp":"2026-12-01T20:00:10.0+00:00","message":"given up","kvs":{"id":"1"}}"#;
+        let mut lines = [later, json, sooner];
+        lines.sort_by(|a, b| stamp(a).cmp(stamp(b)));
+        assert_eq!(lines, [sooner, json, later]);
+    }
+
+    #[test]
+    fn nonsense_names_grow_the_sums_no_further_than_their_bound() {
+        let mut trail = Trail::default();
+        for n in 0..MOST_NAMES + 50 {
+            trail.read("a", &format!("1 t INFO c::r: r.rs:1 given up id=1 why=w{n} answer=throttled"));
+            trail.read("a", &format!("1 t INFO c::h: :0 counts f{n}=1"));
+        }
+        assert_eq!((trail.reasons.len(), trail.counts.len()), (MOST_NAMES, MOST_NAMES));
+        assert_eq!(trail.unread, 50);
+    }
+
     #[test]
     fn one_id_is_followed_across_routers_and_no_other() {
         let mut trail = Trail::following("42");
