Give each router circles of hosts, proofs just in time, and draws by what waits at a host

Need: of 300 routers each sees some ten commands a second of groups with twenty hosts. Each probed all hosts each second as far as its commands paid, knew few replicas well, and crowded those; what found no proof fell to the primary.

Now each router has a circle of replicas for each group (weighted rendezvous, drifting), sized by its own commands, and asks a member for its position only as a command needs it.

Ruled out: the group's room for busy routers (a higher least changed nothing by itself), pace squared in the draw.

Silence of a primary counts from the first thing it was asked since it last answered, as nobody need have asked.

--- /dev/null
+++ b/crates/comethitch-fleet/src/circle.rs
@@ -0,0 +1,132 @@
+//! The circle: the few replicas of a group that one router knows well and uses.
+//!
+//! A router that sees two commands a second of a group can't know twenty replicas within three seconds, nor hold a
+//! connection to each. It ranks them by weighted rendezvous hashing (each replica draws from a hash of the router's
+//! salt and the host, and the draw is stretched by the host's weight) and uses the first few. Over many routers
+//! every host is then in circles in proportion to its weight (light ones a little more often, as no host is drawn
+//! twice). A host that can't be used is left out by the caller,
+//! so that the next in rank takes its place and gives it back later; no other rank moves.
+//!
+//! A circle drifts: each pair of router and host draws anew once in a `drift`, at a moment of its own, so that no
+//! unlucky draw lasts and no two changes fall together.
+
+use crate::drawn;
+use comethitch_time::{Span, Time};
+
+/// A circle has three members at least: one may fail, one may lag, and one remains.
+pub const LEAST: usize = 3;
+/// How many commands share one proof of a member's position: a circle grows only as far as commands pay for it.
+const PROOF_SHARED_BY: f64 = 3.0;
+
+/// A replica that may be in the circle: the caller's number for it, what it is hashed by, and its weight (any
+/// unit, above 0): the power it has at this moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    pub at: usize,
+    pub key: u64,
+    pub weight: f64,
+}
+
+/// A replica in the circle.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Member {
+    pub at: usize,
+    /// Its weight in a draw among the members. A small circle holds a host as often as its weight says, so that a
+    /// draw among its members is even; in a circle that holds all hosts the weights themselves must count.
+    pub draw: f64,
+    /// The share of all routers that have this host in their circles, 0 to 1.
+    pub reach: f64,
+}
+
+/// How many members a circle has, by the commands that the router sees of a group while one proof lasts.
+pub fn size(commands_a_proof: f64) -> usize {
+    ((commands_a_proof / PROOF_SHARED_BY).ceil() as usize).max(LEAST)
+}
+
+/// The circle of the router with this salt: the first `size` candidates by rank, best first; all, if there are no
+/// more than that.
+pub fn draw(
+    salt: u64, now: Time, drift: Span, size: usize, candidates: impl Iterator<Item = Candidate>,
+) -> Vec<Member> {
+    let mut ranked: Vec<(f64, Candidate)> = candidates.map(|c| (rank(salt, &c, now, drift), c)).collect();
+    let sum: f64 = ranked.iter().map(|(_, c)| c.weight).sum();
+    ranked.sort_by(|one, other| one.0.total_cmp(&other.0).then(one.1.at.cmp(&other.1.at)));
+    ranked.truncate(size);
+    let even = sum / size.max(1) as f64;
+    let member =
+        |c: Candidate| Member { at: c.at, draw: c.weight.max(even), reach: (c.weight / even).min(1.0) };
+    ranked.into_iter().map(|(_, candidate)| member(candidate)).collect()
+}
+
+/// The lower, the better. The draw is exponential with the weight as its rate: of any set of candidates the lowest
+/// is each one with a chance in proportion to its weight.
+fn rank(salt: u64, candidate: &Candidate, now: Time, drift: Span) -> f64 {
+    let drift = drift.0.max(1);
+    let moment = (drawn([salt, candidate.key, u64::MAX]) * drift as f64) as u64;
+    let draw = drawn([salt, candidate.key, (now.0.saturating_add(moment)) / drift]);
+    -(1.0 - draw).ln() / candidate.weight.max(f64::MIN_POSITIVE)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const DRIFT: Span = Span(100_000_000);
+
+    fn even(hosts: u64) -> impl Iterator<Item = Candidate> {
+        (0..hosts).map(|key| Candidate { at: key as usize, key, weight: 1.0 })
+    }
+
+    fn numbers(circle: &[Member]) -> Vec<usize> {
+        circle.iter().map(|member| member.at).collect()
+    }
+
+    #[test]
+    fn every_host_is_in_circles_by_its_weight() {
+        let weight = |key: u64| [1.0, 2.0, 0.25][key as usize % 3];
+        let mut held = [0.0; 24];
+        for salt in 0..4000 {
+            let all = (0..24).map(|key| Candidate { at: key as usize, key, weight: weight(key) });
+            draw(salt, Time(0), DRIFT, 3, all).iter().for_each(|member| held[member.at] += 1.0 / 4000.0);
+        }
+        let all = (0..24).map(|key| Candidate { at: key as usize, key, weight: weight(key) });
+        for member in draw(1, Time(0), DRIFT, 24, all) {
+            let expected = 3.0 * weight(member.at as u64) / 26.0;
+            assert!((held[member.at] / expected - 1.0).abs() < 0.3, "{} for {expected}", held[member.at]);
+        }
+    }
+
+    #[test]
+    fn a_host_that_is_left_out_gives_way_to_the_next_alone() {
+        let before = numbers(&draw(5, Time(0), DRIFT, 4, even(20)));
+        let without = numbers(&draw(5, Time(0), DRIFT, 4, even(20).filter(|c| c.at != before[1])));
+        assert_eq!([before[0], before[2], before[3]], without[..3]);
+        assert!(!before.contains(&without[3]));
+    }
+
+    #[test]
+    fn circles_drift_one_member_at_a_time_and_none_lasts() {
+        let mut now = Time(0);
+        let first = numbers(&draw(9, now, DRIFT, 3, even(20)));
+        let (mut before, mut changes) = (first.clone(), 0);
+        for _ in 0..3000 {
+            now = now + DRIFT / 1000;
+            let circle = numbers(&draw(9, now, DRIFT, 3, even(20)));
+            let new = circle.iter().filter(|at| !before.contains(at)).count();
+            assert!(new <= 1, "{before:?} to {circle:?}");
+            changes += new;
+            before = circle;
+        }
+        assert!((6..=24).contains(&changes), "{changes} in three drifts");
+        assert_ne!(first, before);
+    }
+
+    #[test]
+    fn a_circle_that_holds_all_draws_by_weight_and_a_small_one_evenly() {
+        let two = |n: u64| (0..n).map(|key| Candidate { at: key as usize, key, weight: 1.0 + key as f64 });
+        let all = draw(1, Time(0), DRIFT, 3, two(2));
+        assert!(all.iter().all(|m| m.reach == 1.0 || m.at == 0));
+        let few = draw(1, Time(0), DRIFT, 3, two(60));
+        assert!(few.windows(2).all(|pair| pair[0].draw == pair[1].draw), "{few:?}");
+    }
+}
--- /dev/null
+++ b/crates/comethitch-fleet/src/leak.rs
@@ -0,0 +1,36 @@
+//! A sum that leaks away: what was lately, in two numbers.
+
+use comethitch_time::{Span, Time};
+
+/// What was added lately, each part fading by `e` over a span that the caller names.
+///
+/// ```
+/// use comethitch_fleet::leak::Leak;
+/// use comethitch_time::{Span, Time};
+/// let span = Span(2_000_000);
+/// let mut asked = Leak::default();
+/// // Five a second for a while: about ten are left of the last two seconds.
+/// (0..100).for_each(|k| asked.add(1.0, Time(k * 200_000), span));
+/// assert!((asked.left(Time(20_000_000), span) - 9.5).abs() < 0.5);
+/// assert!(asked.left(Time(40_000_000), span) < 0.001);
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Leak {
+    sum: f64,
+    at: Time,
+}
+
+impl Leak {
+    pub fn left(&self, now: Time, span: Span) -> f64 {
+        self.sum * (-(now - self.at).over(span)).exp()
+    }
+
+    pub fn add(&mut self, amount: f64, now: Time, span: Span) {
+        (self.sum, self.at) = (self.left(now, span) + amount, now);
+    }
+
+    /// Takes back what was added and did not happen after all; never below zero.
+    pub fn take_back(&mut self, amount: f64) {
+        self.sum = (self.sum - amount).max(0.0);
+    }
+}
--- /dev/null
+++ b/crates/comethitch-fleet/src/share.rs
@@ -0,0 +1,160 @@
+//! A router's share of what a host bears from all routers together.
+//!
+//! A host that has just started falls over if all routers together send it more than it bears. Each router spends
+//! its share by itself: the fleet's budget over the number of routers that use the host ([`sharers`]). Where that
+//! is less than one command, sending nothing would leave the host idle, and rounding up would multiply it: the
+//! share is rounded by chance ([`admits`]), so that over all routers just the budget is spent, give or take the
+//! spread of a Poisson draw, whose chance of going over is [`chance_over`].
+
+use crate::drawn;
+use comethitch_time::{Span, Time};
+
+/// How many routers use a host that `reach` of them (0 to 1) have in their circles: one standard deviation above
+/// the mean, as the draw of circles can fall that way.
+///
+/// ```
+/// use comethitch_fleet::share::sharers;
+/// assert_eq!(sharers(300, 1.0), 300.0, "all use a primary");
+/// assert_eq!(sharers(300, 3.0 / 9.0), 110.0);
+/// assert_eq!(sharers(1, 0.2), 1.0);
+/// ```
+pub fn sharers(routers: u32, reach: f64) -> f64 {
+    let mean = f64::from(routers) * reach;
+    (mean + mean.sqrt()).clamp(1.0, f64::from(routers).max(1.0))
+}
+
+/// The part of warm peers' load that a cold host's budget is reckoned from; the rest is left to chance, and to
+/// peers that are sent more than they can do.
+const PEERS_SHARE: f64 = 0.4;
+
+/// What the settings say of hosts that have just started, and how many routers there are.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ramp {
+    pub routers: u32,
+    /// A host falls that is sent more than this many times what it can do, for so long.
+    pub multiple: f64,
+    pub span: Span,
+    /// It starts with this part of its power at the least, and has all of it within this time.
+    pub from: f64,
+    pub within: Span,
+}
+
+impl Ramp {
+    /// The part of a host's power that it surely has by now, if it started lately.
+    pub fn warmth(&self, started: Option<Time>, now: Time) -> f64 {
+        let passed = |at: Time| (now - at).over(self.within).min(1.0);
+        started.map_or(1.0, |at| self.from + (1.0 - self.from) * passed(at))
+    }
+
+    /// What one router may send to a cold host in a span, in the unit of `peers`: its part of what the ramp surely
+    /// allows. That is reckoned from `peers`, what this router sends in a span to a warm host of its power on the
+    /// mean over all warm hosts, as these bear the like from all routers; or from one core's time, if that is more.
+    pub fn budget(&self, warmth: f64, reach: f64, peers: f64) -> f64 {
+        let sharers = sharers(self.routers, reach);
+        let alike = peers * f64::from(self.routers) / sharers;
+        self.multiple * warmth * (alike * PEERS_SHARE).max(self.span.0 as f64 / sharers)
+    }
+}
+
+/// What a router has spent of its budget at one host, in its present round. Each router's rounds begin at a moment
+/// of its own, so that shares are not all spent at once.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spent {
+    round: u64,
+    amount: f64,
+}
+
+impl Spent {
+    fn round(salt: u64, now: Time, span: Span) -> u64 {
+        let span = span.0.max(1);
+        now.0.saturating_add(salt % span) / span
+    }
+
+    pub fn add(&mut self, amount: f64, salt: u64, now: Time, span: Span) {
+        let round = Spent::round(salt, now, span);
+        self.amount = amount + if self.round == round { self.amount } else { 0.0 };
+        self.round = round;
+    }
+
+    /// Whether `cost` more may be spent in this round. The budget is rounded by chance, drawn once for router, host
+    /// and round: over many rounds as much is allowed as the budget says, be it a small part of one command or
+    /// several.
+    pub fn admits(&self, cost: f64, budget: f64, salt: u64, key: u64, now: Time, span: Span) -> bool {
+        let round = Spent::round(salt, now, span);
+        let spent = if self.round == round { self.amount } else { 0.0 };
+        spent + cost * (1.0 - drawn([salt, key, round])) < budget
+    }
+}
+
+/// A bound on the chance that as many independent draws as are `expected` on the mean come to `most` or more (the
+/// Chernoff bound of a Poisson sum, which also holds for any sum of independent draws of one or none).
+///
+/// ```
+/// use comethitch_fleet::share::chance_over;
+/// assert!(chance_over(36.0, 90.0) < 1e-12);
+/// assert!(chance_over(4.0, 10.0) < 0.05);
+/// assert_eq!(chance_over(4.0, 3.0), 1.0);
+/// ```
+pub fn chance_over(expected: f64, most: f64) -> f64 {
+    if most <= expected {
+        return 1.0;
+    }
+    (most - expected - most * (most / expected).ln()).exp()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SPAN: Span = Span(1_500_000);
+
+    /// What a fleet spends at one host in a span: each router has more commands than it may send.
+    fn spent_together(routers: u64, budget: f64, cost: f64, now: Time) -> f64 {
+        let spend = |salt: u64| {
+            let salt = salt.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            let mut spent = Spent::default();
+            while spent.admits(cost, budget, salt, 77, now, SPAN) {
+                spent.add(cost, salt, now, SPAN);
+            }
+            spent.amount
+        };
+        (0..routers).map(spend).sum()
+    }
+
+    #[test]
+    fn all_routers_together_spend_the_budget_whatever_part_of_a_command_each_has() {
+        for (routers, budget) in [(300, 0.1), (300, 0.9), (40, 0.5), (40, 2.5), (8, 7.3)] {
+            let spans: Vec<f64> =
+                (1..41).map(|k| spent_together(routers, budget, 1.0, Time(k * 3_000_000))).collect();
+            let mean = spans.iter().sum::<f64>() / spans.len() as f64;
+            let expected = routers as f64 * budget;
+            assert!((mean / expected - 1.0).abs() < 0.1, "{routers} with {budget}: {mean} for {expected}");
+            let most = spans.iter().fold(0.0, |most: f64, one| most.max(*one));
+            let rare = (1..).map(f64::from).find(|n| chance_over(expected, *n) < 1e-3).expect("some number");
+            assert!(most < rare, "{routers} with {budget}: {most} once, {rare} is rare");
+        }
+    }
+
+    #[test]
+    fn the_budgets_of_all_routers_come_to_what_warm_peers_bear() {
+        let ramp = Ramp { routers: 300, multiple: 2.5, span: SPAN, from: 0.2, within: Span(18_000_000) };
+        // Each sends a warm host 0.1 s of work in a span, so that all send it 30 s.
+        let peers = 100_000.0;
+        for reach in [1.0, 0.3, 0.1] {
+            let users = 300.0 * reach;
+            let all = users * ramp.budget(0.2, reach, peers);
+            let most = 2.5 * 0.2 * 0.4 * 300.0 * peers;
+            assert!(all <= most * 1.0001 && all > most * 0.8, "{reach}: {all} for {most}");
+        }
+        assert!((ramp.warmth(Some(Time(0)), Time(9_000_000)) - 0.6).abs() < 1e-9);
+        assert_eq!(ramp.warmth(None, Time(0)), 1.0);
+    }
+
+    #[test]
+    fn rounds_of_routers_do_not_begin_together() {
+        let round = |salt: u64, at: u64| Spent::round(salt * 7_919, Time(at), SPAN);
+        let begun = |at: u64| (0..300).filter(|salt| round(*salt, at) != round(*salt, at - 15_000)).count();
+        let most = (0..100).map(|k| begun(9_000_000 + k * 15_000)).max();
+        assert!(most <= Some(12), "{most:?} of 300 within a hundredth of the span");
+    }
+}
--- a/crates/comethitch/src/time.rs
+++ b/crates/comethitch-time/src/lib.rs
@@ -9,7 +9,7 @@
 /// A length of time.
 ///
 /// ```
-/// use comethitch::time::{Span, Time};
+/// use comethitch_time::{Span, Time};
 /// let sent = Time(1_000);
 /// assert_eq!(sent + Span(500) - sent, Span(500));
 /// assert_eq!(sent - Time(4_000), Span(0), "a span is never negative");
--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -5,14 +5,16 @@
 //! call comes with an outlet that tells the time, so any protocol can be put before the same decisions.
 
 pub mod chance;
+mod command;
 pub mod commits;
 pub mod histogram;
 pub mod policy;
-pub mod time;
 
 use std::collections::BTreeMap;
 use time::{Span, Time};
 
+pub use comethitch_fleet::share::Ramp;
+pub use comethitch_time as time;
 pub use policy::{Handle, Router};
 
 /// A database host, as the caller names it.
@@ -22,6 +24,13 @@
     pub port: u16,
 }
 
+impl Host {
+    /// Address and port as one number.
+    pub fn number(self) -> u64 {
+        u64::from(u32::from_be_bytes(self.address)) << 16 | u64::from(self.port)
+    }
+}
+
 /// A command's id, as the caller gives it.
 pub type CommandId = u32;
 
@@ -69,6 +78,8 @@
     pub role: Option<Role>,
     /// All commits up to here are applied there, at the least.
     pub position: Option<Time>,
+    /// How many commands wait there.
+    pub queue: Option<f64>,
 }
 
 /// What a command group's commands may do on a second run.
@@ -122,7 +133,6 @@
     pub groups: Vec<CommandGroup>,
     pub guards: Guards,
     pub tokens_carried: bool,
-    pub routers: u32,
     pub beat: Span,
     pub may_cancel: bool,
     pub may_probe: bool,
@@ -135,13 +145,11 @@
     pub drain_grace: Span,
     pub gone_is_advice: bool,
     pub must_subscribe: bool,
-    pub cold_from: f64,
-    pub warm_within: Span,
-    pub fall_multiple: f64,
-    pub fall_span: Span,
+    pub ramp: Ramp,
     origin: Time,
     position_at: Option<usize>,
     role_at: Option<usize>,
+    queue_at: Option<usize>,
 }
 
 impl Deployment {
@@ -168,7 +176,6 @@
                 &[("off", Guards::Off), ("refuse", Guards::Refuse), ("wait", Guards::Wait)],
             )?,
             tokens_carried: lines.text_or("domain.tokens", "carried") == "carried",
-            routers: lines.get::<u32>("siblings")?.max(1),
             beat: lines.span("tick_us")?,
             may_cancel: lines.or("permissions.cancel", false)?,
             may_probe: lines.or("permissions.may_probe", false)?,
@@ -183,13 +190,17 @@
             drain_grace: lines.span("rules.drain_grace_us")?,
             gone_is_advice: lines.or("rules.gone_is_advice", false)?,
             must_subscribe: lines.text_or("membership_mode", "automatic") == "subscribe",
-            cold_from: lines.get("rules.cold_from")?,
-            warm_within: lines.span("rules.warm_within_us")?,
-            fall_multiple: lines.get("rules.fall_multiple")?,
-            fall_span: lines.span("rules.fall_us")?,
+            ramp: Ramp {
+                routers: lines.get::<u32>("siblings")?.max(1),
+                multiple: lines.get("rules.fall_multiple")?,
+                span: lines.span("rules.fall_us")?,
+                from: lines.get("rules.cold_from")?,
+                within: lines.span("rules.warm_within_us")?,
+            },
             origin: Time(lines.or("domain.origin_time_us", 0)?),
             position_at: at("x0"),
             role_at: at("x1"),
+            queue_at: at("queue"),
         })
     }
 
@@ -203,7 +214,8 @@
             true => Role::Primary,
             false => Role::Replica,
         });
-        Standing { role, position }
+        let queue = value(self.queue_at).map(|queue| f64::from(queue).max(0.0));
+        Standing { role, position, queue }
     }
 
     /// What the note on an answer says: four times the position in milliseconds, plus the role.
@@ -214,7 +226,24 @@
             _ => None,
         };
         let position = (note >= 4).then(|| self.origin + Span(u64::from(note / 4) * 1000));
-        Standing { role, position }
+        Standing { role, position, queue: None }
+    }
+}
+
+impl Deployment {
+    pub fn shortest_target(&self) -> Option<Span> {
+        self.groups.iter().map(|group| group.target).min()
+    }
+
+    /// The tightest bound on the age of data.
+    pub fn tightest_bound(&self) -> Option<Span> {
+        let bound = |g: &CommandGroup| if let Need::Bounded(bound) = g.need { Some(bound) } else { None };
+        self.groups.iter().filter_map(bound).min()
+    }
+
+    /// Whether some command group has this need.
+    pub fn serves(&self, need: Need) -> bool {
+        self.groups.iter().any(|group| group.need == need)
     }
 }
 
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -7,8 +7,12 @@
 #![allow(clippy::too_many_arguments)]
 
 use crate::{CommandGroup, CommandId, Deployment, Effect, Ending, Guards, Host, Lifecycle, Need, Outlet};
-use crate::{GivenUp, Reach, Role, Shard, Standing, chance::Chance, commits::Commits, histogram::Histogram};
-use crate::{time::Span, time::Time};
+use crate::{
+    GivenUp, Ramp, Reach, Role, Shard, Standing, chance::Chance, commits::Commits, histogram::Histogram,
+};
+use crate::{command::Command, command::Dispatch, time::Span, time::Time};
+use comethitch_fleet::circle::{self, Candidate, Member};
+use comethitch_fleet::{leak::Leak, proof, room::Room, share};
 use std::collections::BTreeMap;
 
 // The design page's own figures.
@@ -19,6 +23,10 @@
 
 /// Points of service that probes may cost: a router with few commands pays many times over for each look.
 const PROBE_POINTS: f64 = 0.02;
+/// A group of which so few commands are left of the last two seconds is not asked.
+const ASKED: f64 = 0.1;
+/// How soon a probe that proved nothing is sent again.
+const PROBE_AGAIN: Span = Span(PROBE_EVERY.0 / 4);
 /// How long a host may go without a probe that nothing has paid for.
 const PROBE_IDLE: Span = Span(PROBE_EVERY.0 * 10);
 /// Further dispatches that each first one pays for, and how many may be saved up.
@@ -30,16 +38,12 @@
 const MUTE_AFTER: u32 = 2;
 /// Failures in a row, of connections, dispatches and probes, that make a host one that can't be reached.
 const LOST_AFTER: u32 = 3;
-/// From this share of late answers on there is a crowd.
-const LATE_SHARE: f64 = 0.15;
 /// From this many times the usual answer time on a host counts as slow beside the others.
 const SLOW: f64 = 2.0;
 /// How often a mute host is tried with a command.
 const TRIED_EVERY: Span = Span(SILENCE.0 / 4);
 /// The part of a bound up to which a replica that checks reads itself is tried.
 const LAG_SHARE: f64 = 0.75;
-/// The part of warm peers' load that a cold host's budget is reckoned from; the rest is left to chance.
-const COLD_SHARE: f64 = 0.4;
 /// The part of a bound kept as a margin where only positions guard a read.
 const MARGIN: u64 = 32;
 
@@ -64,42 +68,12 @@
     lost: u32,
     /// Probes that the group's commands have paid for.
     probes_saved: f64,
+    /// Commands taken lately: they leak away over the span in which silence is judged.
+    asked: Leak,
     rooms: Vec<Room>,
     nodes: Vec<usize>,
 }
 
-/// Work in hand at a host, or at a group of hosts for one command group, and how much may be.
-#[derive(Clone, Default)]
-struct Room {
-    load: Span,
-    limit: Span,
-    /// The share of late answers among the last few.
-    lateness: f64,
-    cut: Time,
-}
-
-impl Room {
-    fn holds(&self, work: Span, stretch: f64) -> bool {
-        self.load == Span(0) || self.load + work <= self.limit.scaled(stretch)
-    }
-
-    /// Only a run of late answers cuts room: a long command now and then is no queue. Where a router sees
-    /// little of each host, the `together` of all hosts shows a crowd sooner.
-    fn ended(&mut self, work: Span, late: Option<bool>, together: f64, least: Span, every: Span, now: Time) {
-        let load = self.load;
-        self.load = load - work;
-        let Some(late) = late else { return };
-        self.lateness += (f64::from(u8::from(late)) - self.lateness) / 16.0;
-        let lateness = self.lateness.max(together);
-        if late && lateness > LATE_SHARE && now - self.cut > every {
-            let kept = (1.0 - lateness / 2.0).min(1.0 - LATE_SHARE);
-            (self.cut, self.limit) = (now, self.limit.min(load * 2).scaled(kept).max(least));
-        } else if !late && load > self.limit / 2 {
-            self.limit += work.scaled(0.1);
-        }
-    }
-}
-
 /// A database host as this router sees it.
 #[derive(Default)]
 pub(crate) struct Node {
@@ -117,10 +91,14 @@
     /// How far behind it seemed when last told, and when that was.
     lag: Span,
     lag_told: Time,
+    /// How many commands waited there when last told.
+    queue: f64,
     room: Room,
     /// The last answer to a command, and the last sign of life of any kind.
     heard: Time,
     alive: Time,
+    /// When it was first asked anything after that: silence counts from there, as nobody need have asked.
+    asked: Time,
     unheard: u32,
     mute: bool,
     /// Failed connections, resets, failed probes and rare errors since its last sign of life.
@@ -128,49 +106,16 @@
     shunned: Time,
     probe_sent: Option<Time>,
     probe_next: Time,
+    prove_next: Time,
     /// Answer times as thousandths of the usual one of their command group.
     pace: Histogram,
     /// Work sent lately: it leaks away over the span in which a cold host is judged.
-    sent: f64,
-    sent_at: Time,
+    sent: Leak,
+    spent: share::Spent,
     /// Told as gone, or missing from a whole list.
     gone: bool,
 }
 
-#[derive(Clone, Copy)]
-struct Dispatch {
-    node: usize,
-    sent: Time,
-    ended: Option<Ending>,
-    noted: bool,
-    work: Span,
-}
-
-#[derive(Default)]
-struct Command {
-    group: usize,
-    shard: Shard,
-    session: u64,
-    /// A session read must see all commits up to here.
-    must_see: Time,
-    taken: Time,
-    expiry: Time,
-    done: bool,
-    waiting: bool,
-    dispatches: Vec<Dispatch>,
-}
-
-impl Command {
-    fn out(&self) -> impl Iterator<Item = &Dispatch> {
-        self.dispatches.iter().filter(|d| d.ended.is_none())
-    }
-
-    /// The dispatches that ran, may have run or may still run.
-    fn maybe_ran(&self) -> impl Iterator<Item = &Dispatch> {
-        self.dispatches.iter().filter(|d| !d.ended.is_some_and(Ending::never_ran))
-    }
-}
-
 /// Where a command can go now.
 enum Way {
     To(usize),
@@ -206,14 +151,15 @@
     /// The shortest response target, and the tightest bound on the age of data.
     target: Span,
     tightest: Span,
+    /// Whether positions alone guard reads, and bounds alone ask for them: they are proven just in time.
+    just_in_time: bool,
 }
 
 impl Router {
     pub fn start(deployment: Deployment, seed: u64, out: &mut dyn Outlet) -> Router {
-        let target = deployment.groups.iter().map(|g| g.target).min().unwrap_or(PROBE_EVERY);
+        let target = deployment.shortest_target().unwrap_or(PROBE_EVERY);
         let beat = deployment.beat.max(target / 16);
-        let bound = |g: &CommandGroup| if let Need::Bounded(bound) = g.need { Some(bound) } else { None };
-        let tightest = deployment.groups.iter().filter_map(bound).min().unwrap_or(PROBE_EVERY);
+        let tightest = deployment.tightest_bound().unwrap_or(PROBE_EVERY);
         if deployment.must_subscribe {
             out.subscribe();
         }
@@ -234,6 +180,7 @@
             commits: Commits::default(),
             target,
             tightest,
+            just_in_time: deployment.guards == Guards::Off && !deployment.serves(Need::Session),
             free: Vec::new(),
             deployment,
         }
@@ -264,6 +211,7 @@
         node.started = node.started.max(started);
         let Some(group) = self.groups.get_mut(&shard) else { return };
         let renamed = heads && group.listed != Some(i);
+        node.probe_next = if renamed { now } else { node.probe_next };
         if heads {
             group.listed = Some(i);
             group.primary = group.primary.or(group.listed.filter(|_| group.serial == 0));
@@ -282,6 +230,10 @@
         let told = Some(out.now()).filter(|_| !self.deployment.gone_is_advice);
         self.nodes.iter_mut().filter(|node| node.gone).for_each(|node| node.leaving = node.leaving.or(told));
         self.forget_gone(out.now());
+        // Until something was heard from a host, the room there is its part among the routers that use it.
+        for i in (0..self.nodes.len()).filter(|i| self.nodes[*i].heard == Time(0)).collect::<Vec<_>>() {
+            self.nodes[i].room.limit = (self.target * 32).scaled(1.0 / self.sharers(i, out.now()));
+        }
         self.probe_due(out);
         self.serve_lines(out);
     }
@@ -302,7 +254,6 @@
         self.nodes[i] = Node {
             host,
             shard,
-            room: Room { limit: self.target * 32 / u64::from(self.deployment.routers), ..Room::default() },
             alive: now,
             probe_next: now,
             pace: Histogram::new(Span(250), 64),
@@ -310,8 +261,7 @@
         };
         let group = self.groups.entry(shard).or_default();
         group.nodes.push(i);
-        let room = Room { limit: Span(u64::MAX), ..Room::default() };
-        group.rooms.resize(self.deployment.groups.len(), room);
+        group.rooms.resize(self.deployment.groups.len(), Room::default());
         group.probes_saved += 1.0;
         i
     }
@@ -346,8 +296,12 @@
         self.further_saved = (self.further_saved + FURTHER_SHARE).min(FURTHER_SAVED);
         if let Some(group) = self.groups.get_mut(&shard) {
             let most = group.nodes.len() as f64 * 2.0;
-            group.probes_saved = (group.probes_saved + PROBE_POINTS / self.deployment.probe_price).min(most);
+            // Where proofs are asked for besides, a quarter is left for the rest.
+            let points = PROBE_POINTS * if self.just_in_time { 0.25 } else { 1.0 };
+            group.probes_saved = (group.probes_saved + points / self.deployment.probe_price).min(most);
+            group.asked.add(1.0, now, SILENCE);
         }
+        self.prove(shard, group, out);
         self.place(id, out);
         Handle(id)
     }
@@ -391,6 +345,9 @@
                     Way::To(i) => self.send(id, i, out),
                     Way::Refused => self.give_up(id, GivenUp::NoPrimary, out),
                     Way::Wait => {
+                        if !barred {
+                            self.prove(kind.1, kind.0, out);
+                        }
                         stuck.extend((!barred).then_some(kind));
                         left.push(id);
                     }
@@ -415,7 +372,9 @@
         let node = &mut self.nodes[i];
         node.room.load += work;
         self.groups.get_mut(&node.shard).expect("known shard").rooms[group].load += work;
-        (node.sent, node.sent_at) = (node.sent_lately(now, self.deployment.fall_span) + heft, now);
+        node.sent.add(heft, now, self.deployment.ramp.span);
+        node.spent.add(heft, self.salt, now, self.deployment.ramp.span);
+        node.ask(now);
         if node.mute {
             node.shunned = now + TRIED_EVERY;
         }
@@ -463,7 +422,8 @@
                 // A fresh router that the list names no primary to probes first.
                 None if group.serial == 0 => Way::Wait,
                 Some(p) if self.serves(p, group, now) => {
-                    let now = self.has_room(p, command.group, now) && self.may_send(command, kind, p, now);
+                    let now =
+                        self.has_room(p, 1.0, command.group, now) && self.may_send(command, kind, p, now);
                     if now { Way::To(p) } else { Way::Wait }
                 }
                 // Beyond the design: a keyed command that may have run waits for the next primary while its
@@ -472,13 +432,15 @@
                 _ => Way::Refused,
             };
         }
-        let open = |i: usize| {
+        let open = |i: usize, reach: f64| {
             self.usable(i, now)
-                && self.has_room(i, command.group, now)
+                && self.has_room(i, reach, command.group, now)
                 && self.may_send(command, kind, i, now)
         };
-        let tried = |i: usize| group.primary == Some(i) || command.dispatches.iter().any(|d| d.node == i);
-        let replicas: Vec<usize> = group.nodes.iter().copied().filter(|i| !tried(*i) && open(*i)).collect();
+        let tried = |i: usize| command.dispatches.iter().any(|d| d.node == i);
+        let circle = self.circle(command.shard, now);
+        let free = circle.iter().filter(|m| !tried(m.at) && open(m.at, m.reach));
+        let replicas: Vec<usize> = free.map(|m| m.at).collect();
         let fresh = |i: usize, need| self.fresh_enough(i, need, command.must_see, now);
         let drawn: Vec<usize> = replicas.iter().copied().filter(|i| fresh(*i, kind.need)).collect();
         // Beyond the design: a read of any age spares fresh replicas and goes to the one furthest behind. As
@@ -506,10 +468,21 @@
         let spare = |p: &usize| {
             let node = &self.nodes[*p];
             let calm = group.state != State::Failover && node.role != Some(Role::Replica);
-            calm && open(*p) && node.room.load + self.work(command.group) <= node.room.limit.scaled(0.75)
+            calm && open(*p, 1.0) && node.room.load + self.work(command.group) <= node.room.limit.scaled(0.75)
+        };
+        // A proof that is on its way is waited for: the primary could not bear what falls to it meanwhile.
+        let coming = self.just_in_time && replicas.iter().any(|i| self.nodes[*i].probe_sent.is_some());
+        let spared = || group.primary.filter(|p| !coming && spare(p));
+        let other = if drawn.is_empty() { freshest().or_else(spared) } else { None };
+        // The draw is even among equals: a host's part is its power, less what it lacks of warmth and of pace, and
+        // of room for what waits there and what this router has out there.
+        let work = self.work(command.group);
+        let part = |i: usize| {
+            let (node, drawn) = (&self.nodes[i], circle.iter().find(|m| m.at == i).map_or(0.0, |m| m.draw));
+            let crowd = (1.0 + node.queue) * (1.0 + node.room.load.over(work));
+            drawn / crowd.powi(2) / node.slowness()
         };
-        let other = if drawn.is_empty() { freshest().or_else(|| group.primary.filter(spare)) } else { None };
-        let weights: Vec<f64> = drawn.iter().map(|i| self.weight(*i, now)).collect();
+        let weights: Vec<f64> = drawn.iter().map(|i| part(*i)).collect();
         let one = self.chance.pick(&weights).map(|nth| drawn[nth]);
         one.or(other).map_or(Way::Wait, Way::To)
     }
@@ -583,20 +556,67 @@
 
     /// The share of a host's power that it surely has by now, if it started lately.
     fn warmth(&self, i: usize, now: Time) -> f64 {
-        self.nodes[i].started.map_or(1.0, |started| {
-            let passed = (now - started).over(self.deployment.warm_within).min(1.0);
-            self.deployment.cold_from + (1.0 - self.deployment.cold_from) * passed
-        })
+        self.deployment.ramp.warmth(self.nodes[i].started, now)
     }
 
-    /// The draw is even among equals: a host's part is its power, less what it lacks of warmth and of pace.
-    fn weight(&self, i: usize, now: Time) -> f64 {
-        let node = &self.nodes[i];
-        node.power * self.warmth(i, now) / node.slowness().powi(2)
+    /// Beyond the design: the replicas that this router uses, few enough to know them well. Where there are many
+    /// routers and hosts each router has some of its own, all together have them all.
+    fn circle(&self, shard: Shard, now: Time) -> Vec<Member> {
+        let group = &self.groups[&shard];
+        // One that was just told to be too far behind gives way too, until it is time to ask again.
+        let behind = |node: &Node| now - node.lag_told < SILENCE && node.lag > self.tightest;
+        let apart = |i: usize| {
+            group.primary == Some(i) || !self.usable(i, now) || self.just_in_time && behind(&self.nodes[i])
+        };
+        let candidate = |at: usize| {
+            let Node { host, power, .. } = self.nodes[at];
+            Candidate { at, key: host.number(), weight: power * self.warmth(at, now) }
+        };
+        let all = group.nodes.iter().copied().filter(|i| !apart(*i)).map(candidate);
+        circle::draw(self.salt, now, self.deployment.ramp.within * 8, self.size(group, now), all)
+    }
+
+    fn size(&self, group: &Group, now: Time) -> usize {
+        let lasts = proof::lasts(self.tightest, PROBE_AGAIN);
+        circle::size(group.asked.left(now, SILENCE) * lasts.over(SILENCE))
+    }
+
+    /// How many routers use a host: all a primary, of other hosts the part that has it in its circle.
+    fn sharers(&self, i: usize, now: Time) -> f64 {
+        let group = &self.groups[&self.nodes[i].shard];
+        let size = self.size(group, now) as f64;
+        let reach = if group.primary == Some(i) { 1.0 } else { size / group.nodes.len().max(1) as f64 };
+        share::sharers(self.deployment.ramp.routers, reach.min(1.0))
+    }
+
+    /// Asks for what a bounded read needs: the proofs of its circle that run out before the next could come.
+    fn prove(&mut self, shard: Shard, group: usize, out: &mut dyn Outlet) {
+        let Need::Bounded(bound) = self.deployment.groups[group].need else { return };
+        if !self.just_in_time || !self.deployment.may_probe || !self.groups.contains_key(&shard) {
+            return;
+        }
+        let now = out.now();
+        for Member { at, reach, .. } in self.circle(shard, now) {
+            let node = &self.nodes[at];
+            let due = proof::due(now - node.position, bound - bound / MARGIN, PROBE_AGAIN);
+            let asked = node.probe_sent.is_some() || now < node.prove_next;
+            if due && !asked && self.has_room(at, reach, group, now) {
+                self.nodes[at].prove_next = now + PROBE_AGAIN;
+                self.probe(at, out);
+            }
+        }
+    }
+
+    fn probe(&mut self, i: usize, out: &mut dyn Outlet) {
+        let node = &mut self.nodes[i];
+        node.probe_sent = Some(out.now());
+        node.ask(out.now());
+        out.probe(node.host);
     }
 
     /// Whether a host can take this much more work and answer it in time, and is not pushed over by it.
-    fn has_room(&self, i: usize, group: usize, now: Time) -> bool {
+    /// `reach` is the share of the routers that use it.
+    fn has_room(&self, i: usize, reach: f64, group: usize, now: Time) -> bool {
         let node = &self.nodes[i];
         // Room is reckoned for the shortest target: a long command, with a target to match, finds more of it.
         let target = self.deployment.groups[group].target;
@@ -607,20 +627,14 @@
         if !fits || warmth >= 1.0 {
             return fits;
         }
-        // A cold host gets no more than this router's part of what the ramp surely allows: as much for its
-        // power as warm hosts get from here, or what one core of it could do, shared among all routers.
-        let fall = self.deployment.fall_span;
+        // A cold host gets no more than this router's part of what the ramp surely allows.
+        let Ramp { span, .. } = self.deployment.ramp;
         let warm = (0..self.nodes.len()).filter(|j| self.usable(*j, now) && self.warmth(*j, now) >= 1.0);
-        let carried = |j: usize| (self.nodes[j].sent_lately(now, fall), self.nodes[j].power);
+        let carried = |j: usize| (self.nodes[j].sent.left(now, span), self.nodes[j].power);
         let (sent, power) = warm.map(carried).fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let peers = if power > 0.0 { sent / power * node.power } else { 0.0 };
-        let alone = fall.0 as f64 / f64::from(self.deployment.routers);
-        let budget = self.deployment.fall_multiple * warmth * (peers * COLD_SHARE).max(alone);
-        // Where many routers share it, a part is less than one command: some send one, by chance, most none.
-        let round = (now + Span(self.salt % fall.0.max(1))).0 / fall.0.max(1);
-        let heft = self.heft(group);
-        let one = heft > budget && Chance::new(self.salt ^ round ^ (i as u64) << 32).below(heft) < budget;
-        node.sent_lately(now, fall) + if one { 0.0 } else { heft } <= budget
+        let budget = self.deployment.ramp.budget(warmth, reach, peers);
+        node.spent.admits(self.heft(group), budget, self.salt, node.host.number(), now, span)
     }
 
     /// The work of a command group's usual command, as seen from here.
@@ -666,8 +680,11 @@
         let took = now - sent;
         let usual = self.usual(kind);
         let target = self.deployment.groups[kind].target;
+        // Every router may hold this much at a host at once.
+        let least = (target * 2).scaled(1.0 / self.sharers(i, now)).min(target / 2);
         if (ending.never_ran() || ending == Ending::Error) && self.warmth(i, now) >= 1.0 {
-            self.nodes[i].sent = (self.nodes[i].sent - self.heft(kind)).max(0.0);
+            let heft = self.heft(kind);
+            self.nodes[i].sent.take_back(heft);
         }
         let node = &mut self.nodes[i];
         let mut late = None;
@@ -701,10 +718,11 @@
             node.pace.add(Span((took.over(usual) * 1000.0) as u64));
             late = Some(took > target / 2);
         }
-        // Every router may hold this much at a host at once.
-        let least = (target * 2 / u64::from(self.deployment.routers)).min(target / 2);
         let group = self.groups.get_mut(&node.shard).expect("known shard");
-        let together = least * group.nodes.len() as u64;
+        // Nor less than its commands need at their usual pace: some see many times what others do.
+        let needs =
+            work.scaled(group.asked.left(now, SILENCE) * PROBE_EVERY.over(SILENCE) * work.over(PROBE_EVERY));
+        let together = (least * group.nodes.len() as u64).max(needs);
         group.rooms[kind].ended(work, late, 0.0, together.max(work), target / 2, now);
         let full = ending == Ending::Full;
         let (late, together) =
@@ -723,6 +741,7 @@
             }
             let age = self.report_age.quantile(0.5).unwrap_or_default();
             (node.lag, node.lag_told) = ((now - position) - age, now);
+            node.queue = told.queue.unwrap_or_default();
         }
         let (shard, position) = (node.shard, node.position);
         // A report may be older than an answer: one made before it last led does not unseat a primary.
@@ -818,7 +837,7 @@
         let lost = node.mute || f64::from(group.lost) >= LOST_SHARE * f64::from(group.noted);
         match group.state {
             State::Healthy if self.parted(p, now) => self.fail_over(shard, out),
-            State::Healthy if now - node.alive > SILENCE => self.doubt(p, now),
+            State::Healthy if node.asked > node.alive && now - node.asked > SILENCE => self.doubt(p, now),
             State::Unhealthy if answers || !lost || now - group.since <= STAGED || self.kept(group, now) => {}
             State::Unhealthy => self.fail_over(shard, out),
             _ => {}
@@ -834,7 +853,9 @@
         // The longest due first: where few probes are paid for, each member has its turn.
         let mut due: Vec<usize> =
             (0..self.nodes.len()).filter(|i| self.nodes[*i].probe_next <= now).collect();
-        due.sort_by_key(|i| self.nodes[*i].probe_next);
+        // First the one that the list names.
+        let named = |i: usize| self.groups[&self.nodes[i].shard].listed == Some(i);
+        due.sort_by_key(|i| (!named(*i), self.nodes[*i].probe_next));
         for i in due {
             let group = self.groups.get_mut(&self.nodes[i].shard).expect("known shard");
             let node = &self.nodes[i];
@@ -845,6 +866,15 @@
             let suspect = group.state == State::Unhealthy && group.primary == Some(i);
             let hurried = group.state == State::Failover || suspect || parting || node.mute;
             let period = if hurried { PROBE_EVERY / 4 } else { calm };
+            // Replicas prove themselves as commands need it, and a primary by its answers: it is asked if they
+            // stay out. Without commands nobody need know.
+            let silent = node.asked > node.alive && now - node.asked >= PROBE_EVERY / 2;
+            let needed = group.state == State::Failover
+                || group.primary.is_none()
+                || group.primary == Some(i) && (suspect || silent);
+            if self.just_in_time && (!needed || group.asked.left(now, SILENCE) < ASKED) {
+                continue;
+            }
             let node = &mut self.nodes[i];
             // An answer that carried a report is as good as a probe.
             if !hurried && now - node.lag_told < period && now - node.alive < period {
@@ -856,8 +886,7 @@
             }
             group.probes_saved = (group.probes_saved - 1.0).max(0.0);
             node.probe_next = now + period;
-            node.probe_sent = Some(now);
-            out.probe(node.host);
+            self.probe(i, out);
         }
     }
 
@@ -905,6 +934,10 @@
 }
 
 impl Node {
+    fn ask(&mut self, now: Time) {
+        self.asked = if self.asked <= self.alive { now } else { self.asked };
+    }
+
     fn well(&self, now: Time) -> bool {
         now >= self.shunned
     }
@@ -918,7 +951,9 @@
     fn strike(&mut self, now: Time, connect_timeout: Span) {
         self.strikes += 1;
         if self.lost() {
-            self.shunned = now + connect_timeout;
+            // Twice as long each time: hundreds of routers try what has gone.
+            let wait = connect_timeout * (1 << (self.strikes - LOST_AFTER).min(16));
+            self.shunned = now + wait.min(SILENCE);
         }
     }
 
@@ -933,10 +968,6 @@
     fn slowness(&self) -> f64 {
         self.pace.quantile(0.5).map_or(1.0, |pace| (pace.0 as f64 / 1000.0).max(1.0))
     }
-
-    fn sent_lately(&self, now: Time, span: Span) -> f64 {
-        self.sent * (-(now - self.sent_at).over(span)).exp()
-    }
 }
 
 impl Handle {
--- a/crates/comethitchd/src/memory/site.rs
+++ b/crates/comethitchd/src/memory/site.rs
@@ -156,7 +156,7 @@
     let mut spans = vec![
         ("tick_us".to_string(), deployment.beat),
         ("permissions.connect_timeout_us".into(), deployment.connect_timeout),
-        ("rules.fall_us".into(), deployment.fall_span),
+        ("rules.fall_us".into(), deployment.ramp.span),
     ];
     for (i, group) in deployment.groups.iter().enumerate() {
         spans.push((format!("classes.{i}.target_us"), group.target));
@@ -165,8 +165,8 @@
     if let Some((key, _)) = spans.iter().find(|(_, span)| *span == Span(0)) {
         return Err(format!("settings.{key} must be 1 or more"));
     }
-    if !(0.0..=1.0).contains(&deployment.cold_from) {
-        return Err(format!("settings.rules.cold_from must be 0 to 1, not {}", deployment.cold_from));
+    if !(0.0..=1.0).contains(&deployment.ramp.from) {
+        return Err(format!("settings.rules.cold_from must be 0 to 1, not {}", deployment.ramp.from));
     }
     match deployment.max_dispatches {
         0 => Err("settings.permissions.max_attempts must be 1 or more".into()),
--- a/crates/comethitchd/src/protocols/tds/send.rs
+++ b/crates/comethitchd/src/protocols/tds/send.rs
@@ -91,6 +91,7 @@
         role: role.map(|primary| if primary { Role::Primary } else { Role::Replica }),
         // A position may have been rounded up by less than its unit; one of zero is none.
         position: position.and_then(|ms| ms.checked_sub(1)).map(|ms| Time(ms.saturating_mul(1_000))),
+        queue: None,
     }
 }
 
--- a/crates/comethitchd/src/wire/standing.rs
+++ b/crates/comethitchd/src/wire/standing.rs
@@ -15,7 +15,8 @@
         _ => None,
     };
     let position = answer.as_of.as_deref().and_then(|text| text.parse::<u64>().ok());
-    Standing { role, position: position.filter(|ms| *ms > 0).map(|ms| Time(ms.saturating_mul(1_000))) }
+    let position = position.filter(|ms| *ms > 0).map(|ms| Time(ms.saturating_mul(1_000)));
+    Standing { role, position, queue: None }
 }
 
 /// What a report such as `x0=1767225600.123,x1=0,queue=4` says: the position in seconds, and the role.
@@ -24,7 +25,7 @@
 /// use comethitch::{Role, time::Time};
 /// let standing = comethitchd::wire::standing::reported("queue=4,x0=1767225600.12,x1=1");
 /// assert_eq!(standing.position, Some(Time(1_767_225_600_119_000)), "never newer than it was");
-/// assert_eq!(standing.role, Some(Role::Primary));
+/// assert_eq!((standing.role, standing.queue), (Some(Role::Primary), Some(4.0)));
 /// // A host that has made no report yet says zero; that is no position, and no role either.
 /// let none = comethitchd::wire::standing::reported("x0=0.000,x1=0,queue=0");
 /// assert_eq!(none, comethitch::Standing::default());
@@ -36,9 +37,10 @@
         true => Role::Primary,
         false => Role::Replica,
     });
+    let queue = value("queue").and_then(|queue| queue.parse().ok()).filter(|queue: &f64| *queue >= 0.0);
     match value("x0").map(seconds) {
         Some(None) => Standing::default(),
-        position => Standing { role, position: position.flatten() },
+        position => Standing { role, position: position.flatten(), queue },
     }
 }
 
