Ask members that are behind or have just started more rarely, and size circles steadily

A probe of why each was sent told: 4,850 of hosts that lag between half and all of the bound, asked four times a second for proofs that hardly last; 2,856 of hosts that had told no position yet; and members that came and went as the circle's size followed two seconds of commands.

Change: `proof::wait` asks again after half of the lag told, or twice the least span where nothing was told; a proof is renewed as it runs out, not half a second before; the size follows ten seconds, reckoned fairly while fewer have passed.

A doctest of the rooms that did not compile is mended.

--- a/crates/comethitch-fleet/src/circle.rs
+++ b/crates/comethitch-fleet/src/circle.rs
@@ -15,8 +15,6 @@
 
 /// A circle has three members at least: one may fail, one may lag, and one remains.
 pub const LEAST: usize = 3;
-/// How many commands share one proof of a member's position: a circle grows only as far as commands pay for it.
-const PROOF_SHARED_BY: f64 = 3.0;
 
 /// A replica that may be in the circle: the caller's number for it, what it is hashed by, and its weight (any
 /// unit, above 0): the power it has at this moment.
@@ -38,7 +36,11 @@
     pub reach: f64,
 }
 
-/// How many members a circle has, by the commands that the router sees of a group while one proof lasts.
+/// How many commands share one proof of a member's position: a circle grows only as far as commands pay for it.
+const PROOF_SHARED_BY: f64 = 3.0;
+
+/// How many members a circle has, by the commands that the router sees of a group while one proof lasts: so that no
+/// router, however much it sees, sends a host much more than another does.
 pub fn size(commands_a_proof: f64) -> usize {
     ((commands_a_proof / PROOF_SHARED_BY).ceil() as usize).max(LEAST)
 }
--- a/crates/comethitch-fleet/src/leak.rs
+++ b/crates/comethitch-fleet/src/leak.rs
@@ -13,11 +13,16 @@
 /// (0..100).for_each(|k| asked.add(1.0, Time(k * 200_000), span));
 /// assert!((asked.left(Time(20_000_000), span) - 9.5).abs() < 0.5);
 /// assert!(asked.left(Time(40_000_000), span) < 0.001);
+/// // After half a second three have come: that is twelve in a span.
+/// let mut asked = Leak::default();
+/// (1..4).for_each(|k| asked.add(1.0, Time(k * 200_000), span));
+/// assert!((asked.each(Time(700_000), span) - 12.0).abs() < 1.5);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Leak {
     sum: f64,
     at: Time,
+    since: Time,
 }
 
 impl Leak {
@@ -25,7 +30,14 @@
         self.sum * (-(now - self.at).over(span)).exp()
     }
 
+    /// What comes in a span, by what is left: also while less than a span has passed since the first. It starts from
+    /// a tenth of a span, as one alone tells little.
+    pub fn each(&self, now: Time, span: Span) -> f64 {
+        self.left(now, span) / (1.0 - (-(now - self.since).over(span)).exp()).max(0.1)
+    }
+
     pub fn add(&mut self, amount: f64, now: Time, span: Span) {
+        self.since = if self.at == Time(0) { now } else { self.since };
         (self.sum, self.at) = (self.left(now, span) + amount, now);
     }
 
--- a/crates/comethitch-fleet/src/proof.rs
+++ b/crates/comethitch-fleet/src/proof.rs
@@ -6,23 +6,31 @@
 
 use comethitch_time::Span;
 
-/// Whether a command that wants data no older than `bound` should cause a probe of a replica whose proven position
-/// is `age` old. `again` is how soon a probe that told nothing is sent again: two of those fit into what is left,
-/// and at the most half of the bound is given up for it.
+/// How long a proof lasts for commands that want data no older than `bound`: until just before it runs out, as there
+/// are others to go to while it is renewed. `again` is how soon a probe that told nothing is sent again; at the most
+/// half of the bound is given up for it.
 ///
 /// ```
 /// use comethitch_fleet::proof;
 /// use comethitch_time::Span;
-/// let (bound, again) = (Span(3_000_000), Span(250_000));
-/// assert!(!proof::due(Span(2_400_000), bound, again));
-/// assert!(proof::due(Span(2_600_000), bound, again));
-/// assert!(proof::due(Span(150_000), Span(200_000), again), "a tight bound is renewed at its half");
+/// assert_eq!(proof::lasts(Span(3_000_000), Span(250_000)), Span(2_750_000));
+/// assert_eq!(proof::lasts(Span(200_000), Span(250_000)), Span(100_000), "a tight bound is renewed at its half");
 /// ```
-pub fn due(age: Span, bound: Span, again: Span) -> bool {
-    age > lasts(bound, again)
+pub fn lasts(bound: Span, again: Span) -> Span {
+    (bound - again).max(bound / 2)
 }
 
-/// How long a proof lasts before it is due to be renewed.
-pub fn lasts(bound: Span, again: Span) -> Span {
-    (bound - again * 2).max(bound / 2)
+/// How soon a member is asked again whose last probe told of this `lag`, none where it told of no position: one that
+/// is behind proves little each time, and one that has just started will tell nothing for a while.
+///
+/// ```
+/// use comethitch_fleet::proof::wait;
+/// use comethitch_time::Span;
+/// let again = Span(250_000);
+/// assert_eq!(wait(Some(Span(20_000)), again), again);
+/// assert_eq!(wait(Some(Span(2_000_000)), again), Span(1_000_000));
+/// assert_eq!(wait(None, again), Span(500_000));
+/// ```
+pub fn wait(lag: Option<Span>, again: Span) -> Span {
+    lag.map_or(again * 2, |lag| again.max(lag / 2))
 }
--- a/crates/comethitch-fleet/src/room.rs
+++ b/crates/comethitch-fleet/src/room.rs
@@ -33,9 +33,10 @@
     /// ```
     /// use comethitch_fleet::room::Room;
     /// use comethitch_time::Span;
-    /// let room = Room { limit: Span(100), ..Room::default() };
+    /// let mut room = Room::default();
+    /// room.limit = Span(100);
     /// assert!(room.holds(Span(500), 1.0), "the first");
-    /// let room = Room { load: Span(80), ..room };
+    /// room.load = Span(80);
     /// assert!(room.holds(Span(20), 1.0) && !room.holds(Span(21), 1.0) && room.holds(Span(100), 2.0));
     /// ```
     pub fn holds(&self, work: Span, stretch: f64) -> bool {
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -23,8 +23,8 @@
 
 /// Points of service that probes may cost: a router with few commands pays many times over for each look.
 const PROBE_POINTS: f64 = 0.02;
-/// A group of which so few commands are left of the last two seconds is not asked.
-const ASKED: f64 = 0.1;
+/// A group of which so few commands are left of the last ten seconds is not asked.
+const ASKED: f64 = 0.5;
 /// How soon a probe that proved nothing is sent again.
 const PROBE_AGAIN: Span = Span(PROBE_EVERY.0 / 4);
 /// How long a host may go without a probe that nothing has paid for.
@@ -68,7 +68,7 @@
     lost: u32,
     /// Probes that the group's commands have paid for.
     probes_saved: f64,
-    /// Commands taken lately: they leak away over the span in which silence is judged.
+    /// Commands taken lately: they leak away over [`PROBE_IDLE`].
     asked: Leak,
     rooms: Vec<Room>,
     nodes: Vec<usize>,
@@ -299,7 +299,7 @@
             // Where proofs are asked for besides, a quarter is left for the rest.
             let points = PROBE_POINTS * if self.just_in_time { 0.25 } else { 1.0 };
             group.probes_saved = (group.probes_saved + points / self.deployment.probe_price).min(most);
-            group.asked.add(1.0, now, SILENCE);
+            group.asked.add(1.0, now, PROBE_IDLE);
         }
         self.prove(shard, group, out);
         self.place(id, out);
@@ -578,7 +578,7 @@
 
     fn size(&self, group: &Group, now: Time) -> usize {
         let lasts = proof::lasts(self.tightest, PROBE_AGAIN);
-        circle::size(group.asked.left(now, SILENCE) * lasts.over(SILENCE))
+        circle::size(group.asked.each(now, PROBE_IDLE) * lasts.over(PROBE_IDLE))
     }
 
     /// How many routers use a host: all a primary, of other hosts the part that has it in its circle.
@@ -596,12 +596,13 @@
             return;
         }
         let now = out.now();
+        let lasts = proof::lasts(bound - bound / MARGIN, PROBE_AGAIN);
         for Member { at, reach, .. } in self.circle(shard, now) {
             let node = &self.nodes[at];
-            let due = proof::due(now - node.position, bound - bound / MARGIN, PROBE_AGAIN);
             let asked = node.probe_sent.is_some() || now < node.prove_next;
-            if due && !asked && self.has_room(at, reach, group, now) {
-                self.nodes[at].prove_next = now + PROBE_AGAIN;
+            if now - node.position > lasts && !asked && self.has_room(at, reach, group, now) {
+                let lag = Some(node.lag).filter(|_| node.position > Time(0));
+                self.nodes[at].prove_next = now + proof::wait(lag, PROBE_AGAIN);
                 self.probe(at, out);
             }
         }
@@ -720,8 +721,7 @@
         }
         let group = self.groups.get_mut(&node.shard).expect("known shard");
         // Nor less than its commands need at their usual pace: some see many times what others do.
-        let needs =
-            work.scaled(group.asked.left(now, SILENCE) * PROBE_EVERY.over(SILENCE) * work.over(PROBE_EVERY));
+        let needs = work.scaled(group.asked.each(now, PROBE_IDLE) * work.over(PROBE_IDLE));
         let together = (least * group.nodes.len() as u64).max(needs);
         group.rooms[kind].ended(work, late, 0.0, together.max(work), target / 2, now);
         let full = ending == Ending::Full;
@@ -872,7 +872,7 @@
             let needed = group.state == State::Failover
                 || group.primary.is_none()
                 || group.primary == Some(i) && (suspect || silent);
-            if self.just_in_time && (!needed || group.asked.left(now, SILENCE) < ASKED) {
+            if self.just_in_time && (!needed || group.asked.left(now, PROBE_IDLE) < ASKED) {
                 continue;
             }
             let node = &mut self.nodes[i];
