--- /dev/null
+++ b/crates/comethitch-lab/src/fleet.rs
@@ -0,0 +1,661 @@
+//! The fleet: routers, hosts, clients and the network as one line of events in simulated time.
+
+use crate::hosts::{Arrived, Box as Db, Cold, Job};
+use crate::ledger::{Answer, Ledger, Report};
+use crate::trial::{Routing, Trial, Trouble};
+use comethitch::time::{Span, Time};
+use comethitch::{CommandId, Deployment, Ending, Host, Lifecycle, Outlet, Role, Router, Standing};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, LogNormal};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// The start of every trial. Positions count from long before.
+const START: Time = Time(1_000_000_000);
+/// How often a client comes again after a throttle, and how soon.
+const RETRIES: u8 = 2;
+const RETRY_AFTER: Span = Span(50_000);
+/// Most events of one trial: it ends with an error rather than run on.
+const EVENTS: u64 = 60_000_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// The next command of a router's own clients.
+    Asked(usize),
+    /// A client's repeat: its first try's number and time, what it is, and how often it has come.
+    Again {
+        origin: (u64, Time),
+        group: u16,
+        write: bool,
+        tries: u8,
+        router: usize,
+    },
+    Reach {
+        host: usize,
+        router: usize,
+        epoch: u32,
+        command: u32,
+        nth: u16,
+        work: Span,
+        write: bool,
+    },
+    Done {
+        host: usize,
+        router: usize,
+        command: u32,
+        nth: u16,
+        work: Span,
+    },
+    Back {
+        router: usize,
+        epoch: u32,
+        command: u32,
+        nth: u16,
+        ending: u8,
+        host: usize,
+    },
+    TimeOut {
+        router: usize,
+        epoch: u32,
+        command: u32,
+        nth: u16,
+    },
+    ProbeReach {
+        router: usize,
+        epoch: u32,
+        host: usize,
+    },
+    ProbeBack {
+        router: usize,
+        epoch: u32,
+        host: usize,
+        position: Option<Time>,
+        queue: u64,
+        primary: bool,
+    },
+    Wake {
+        router: usize,
+        epoch: u32,
+    },
+    List {
+        router: usize,
+        epoch: u32,
+    },
+    Fault(usize),
+    Replace(usize),
+    Gone(usize),
+    Restart(usize),
+    Second(u64),
+}
+
+const ANSWERED: u8 = 0;
+const FULL: u8 = 1;
+const RESET: u8 = 2;
+const MISS: u8 = 3;
+
+enum Act {
+    Dispatch(CommandId, Host, Span),
+    Cancel(CommandId, u16),
+    Final(CommandId, Answer),
+    Probe(Host),
+    Wake(Span),
+}
+
+struct Acts {
+    now: Time,
+    queue: Vec<Act>,
+}
+
+impl Outlet for Acts {
+    fn now(&self) -> Time {
+        self.now
+    }
+    fn dispatch(&mut self, cmd: CommandId, host: Host, time_out: Span) {
+        self.queue.push(Act::Dispatch(cmd, host, time_out));
+    }
+    fn cancel(&mut self, cmd: CommandId, nth: u16) {
+        self.queue.push(Act::Cancel(cmd, nth));
+    }
+    fn throttle(&mut self, cmd: CommandId, _: Option<Span>) {
+        self.queue.push(Act::Final(cmd, Answer::Throttled));
+    }
+    fn fail(&mut self, cmd: CommandId) {
+        self.queue.push(Act::Final(cmd, Answer::Failed));
+    }
+    fn probe(&mut self, host: Host) {
+        self.queue.push(Act::Probe(host));
+    }
+    fn close_idle(&mut self, _: Host) {}
+    fn wake(&mut self, after: Span) {
+        self.queue.push(Act::Wake(after));
+    }
+    fn subscribe(&mut self) {}
+}
+
+/// A command in hand at a router.
+struct Open {
+    number: u64,
+    origin: (u64, Time),
+    group: u16,
+    write: bool,
+    tries: u8,
+    /// Where each dispatch went, its work, when it was sent, and whether it is out.
+    sent: Vec<(usize, Span, Time, bool)>,
+    over: bool,
+}
+
+struct Seat {
+    router: Option<Router>,
+    /// How often it was killed: what was meant for an earlier life is void.
+    epoch: u32,
+    /// Commands a second of its own clients.
+    rate: f64,
+    last: CommandId,
+    open: BTreeMap<CommandId, Open>,
+    /// By host: connections in use, and opened so far.
+    lines: BTreeMap<usize, (u32, u32)>,
+    /// When it was told that a host drains.
+    told: BTreeMap<usize, Time>,
+}
+
+struct Fleet<'a> {
+    trial: &'a Trial,
+    deployment: Deployment,
+    cold: Cold,
+    now: Time,
+    next: u64,
+    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    rng: ChaCha8Rng,
+    seats: Vec<Seat>,
+    hosts: Vec<Db>,
+    by_host: BTreeMap<Host, usize>,
+    ledger: Ledger,
+    /// By second, the replicas that were usable as it began.
+    usable: BTreeMap<u64, Vec<usize>>,
+    numbers: u64,
+}
+
+/// Plays a trial to its end.
+///
+/// # Errors
+/// A key of the trial that is out of bounds, or more events than a trial may have.
+pub fn play(trial: &Trial) -> Result<Report, String> {
+    trial.check()?;
+    let mut fleet = Fleet::new(trial)?;
+    let end = START + Span(trial.seconds * 1_000_000);
+    let mut count = 0;
+    while let Some(Reverse((at, _, event))) = fleet.events.pop() {
+        if at > end + Span(trial.timeout_ms * 1000) {
+            break;
+        }
+        count += 1;
+        if count > EVENTS {
+            return Err(format!("more than {EVENTS} events: fewer routers, seconds or load"));
+        }
+        fleet.now = at;
+        fleet.happen(event, at <= end);
+    }
+    let Fleet { ledger, usable, .. } = fleet;
+    let throughout = |second: u64, host: usize| {
+        let at = |second: &u64| usable.get(second).is_some_and(|hosts| hosts.contains(&host));
+        at(&second) && at(&(second + 1))
+    };
+    Ok(ledger.close(end, &throughout))
+}
+
+impl<'a> Fleet<'a> {
+    fn new(trial: &'a Trial) -> Result<Fleet<'a>, String> {
+        let mut rng = ChaCha8Rng::seed_from_u64(trial.seed);
+        let unequal = LogNormal::new(0.0, trial.skew).map_err(|_| "skew is unusable")?;
+        let shares: Vec<f64> = (0..trial.routers).map(|_| unequal.sample(&mut rng)).collect();
+        let mut fleet = Fleet {
+            deployment: trial.deployment()?,
+            cold: Cold {
+                from: trial.cold_from,
+                within: Span(trial.warm_within_ms * 1000),
+                multiple: trial.fall_multiple,
+                span: Span(trial.fall_ms * 1000),
+            },
+            trial,
+            now: START,
+            next: 0,
+            events: BinaryHeap::new(),
+            rng,
+            seats: Vec::new(),
+            hosts: Vec::new(),
+            by_host: BTreeMap::new(),
+            ledger: Ledger::new(Span(trial.target_ms * 1000)),
+            usable: BTreeMap::new(),
+            numbers: 0,
+        };
+        for group in 0..trial.groups {
+            (0..=trial.replicas).for_each(|nth| _ = fleet.add_host(group, nth == 0));
+        }
+        if trial.all_cold {
+            fleet.hosts.iter_mut().for_each(|host| host.started = Some(START));
+        }
+        let cores: f64 = fleet.hosts.iter().filter(|h| !h.primary).map(|h| f64::from(h.cores)).sum();
+        let all = trial.load * cores / (trial.work_ms / 1e3) / (1.0 - trial.writes).max(0.01);
+        let sum: f64 = shares.iter().sum();
+        for share in shares {
+            fleet.seats.push(Seat {
+                router: None,
+                epoch: 0,
+                rate: all * share / sum,
+                last: 0,
+                open: BTreeMap::new(),
+                lines: BTreeMap::new(),
+                told: BTreeMap::new(),
+            });
+        }
+        for router in 0..fleet.seats.len() {
+            fleet.start(router);
+            fleet.ask_next(router);
+        }
+        for (nth, fault) in trial.faults.iter().enumerate() {
+            fleet.at(START + Span(fault.at_ms * 1000), Event::Fault(nth));
+        }
+        (0..=trial.seconds + 1).for_each(|s| fleet.at(START + Span(s * 1_000_000), Event::Second(s)));
+        Ok(fleet)
+    }
+
+    fn at(&mut self, at: Time, event: Event) {
+        self.next += 1;
+        self.events.push(Reverse((at, self.next, event)));
+    }
+
+    fn soon(&mut self, event: Event) {
+        let way = self.trial.net_us as f64;
+        let late = Span((way * self.rng.random_range(0.8..1.2)) as u64);
+        self.at(self.now + late, event);
+    }
+
+    fn add_host(&mut self, group: u16, primary: bool) -> usize {
+        let nth = self.hosts.len();
+        let host = Host { address: [10, 0, (nth >> 8) as u8, nth as u8], port: 5432 };
+        let cores = self.trial.cores[nth % self.trial.cores.len()];
+        self.hosts.push(Db::new(host, group, cores, primary, self.trial.queue_per_core));
+        self.by_host.insert(host, nth);
+        nth
+    }
+
+    fn start(&mut self, router: usize) {
+        let seed = self.rng.next_u64();
+        let mut out = Acts { now: self.now, queue: Vec::new() };
+        self.seats[router].router = Some(Router::start(self.deployment.clone(), seed, &mut out));
+        self.carry_out(router, out);
+        self.tell_list(router);
+    }
+
+    fn tell_list(&mut self, router: usize) {
+        let now = self.now;
+        let told = &mut self.seats[router].told;
+        let hosts = self.hosts.iter().enumerate();
+        hosts.filter(|(_, h)| h.draining.is_some()).for_each(|(nth, _)| _ = told.entry(nth).or_insert(now));
+        let listed: Vec<_> = self
+            .hosts
+            .iter()
+            .filter(|host| !host.gone)
+            .map(|host| {
+                let lifecycle = if host.draining.is_some() { Lifecycle::Draining } else { Lifecycle::Ready };
+                (host.host, host.group, lifecycle, host.primary, f64::from(host.cores), host.started)
+            })
+            .collect();
+        self.call(router, |router, out| {
+            router.list_starts(true);
+            for (host, group, lifecycle, heads, power, started) in &listed {
+                router.listed(*host, 0, *group, *lifecycle, *heads, *power, *started, out);
+            }
+            router.list_ends(out);
+        });
+    }
+
+    /// Every router is told of a change, each a little later than it happened.
+    fn list_all(&mut self) {
+        for router in 0..self.seats.len() {
+            let late = Span(self.rng.random_range(200_000..1_500_000));
+            let epoch = self.seats[router].epoch;
+            self.at(self.now + late, Event::List { router, epoch });
+        }
+    }
+
+    fn ask_next(&mut self, router: usize) {
+        let rate = self.seats[router].rate.max(1e-6);
+        let gap = Exp::new(rate).expect("a rate above 0").sample(&mut self.rng);
+        self.at(self.now + Span((gap * 1e6) as u64), Event::Asked(router));
+    }
+
+    /// A router that is up: this one, or any other if it is down.
+    fn front(&mut self, router: usize) -> Option<usize> {
+        let up: Vec<usize> = (0..self.seats.len()).filter(|r| self.seats[*r].router.is_some()).collect();
+        match self.seats[router].router {
+            Some(_) => Some(router),
+            None if up.is_empty() => None,
+            None => Some(up[self.rng.random_range(0..up.len())]),
+        }
+    }
+
+    fn happen(&mut self, event: Event, open: bool) {
+        match event {
+            Event::Asked(router) if open => {
+                self.ask_next(router);
+                let group = self.rng.random_range(0..self.trial.groups);
+                let write = self.rng.random_bool(self.trial.writes);
+                self.numbers += 1;
+                let origin = (self.numbers, self.now);
+                if let Some(router) = self.front(router) {
+                    self.take(router, origin, group, write, 0);
+                }
+            }
+            Event::Asked(_) => {}
+            Event::Again { origin, group, write, tries, router } => {
+                if let Some(router) = self.front(router) {
+                    self.take(router, origin, group, write, tries);
+                }
+            }
+            Event::Reach { host, router, epoch, command, nth, work, write } => {
+                self.reach(host, router, epoch, command, nth, work, write);
+            }
+            Event::Done { host, router, command, nth, work } => {
+                let job = Job { router, command, nth, work };
+                let next = self.hosts[host].done(&job, &self.cold, self.now);
+                if let Some((next, takes)) = next {
+                    let Job { router, command, nth, work } = next;
+                    self.at(self.now + takes, Event::Done { host, router, command, nth, work });
+                }
+                if !self.hosts[host].gone {
+                    let epoch = self.seats[router].epoch;
+                    self.soon(Event::Back { router, epoch, command, nth, ending: ANSWERED, host });
+                }
+            }
+            Event::Back { router, epoch, command, nth, ending, host }
+                if self.seats[router].epoch == epoch =>
+            {
+                self.back(router, command, nth, ending, host);
+            }
+            Event::TimeOut { router, epoch, command, nth } if self.seats[router].epoch == epoch => {
+                self.ended(router, command, nth, Ending::TimedOut, false, Standing::default());
+            }
+            Event::ProbeReach { router, epoch, host } => {
+                let dead = self.hosts[host].gone || self.hosts[host].fallen;
+                let (lag, every) = (Span(self.trial.lag_ms * 1000), Span(self.trial.report_ms * 1000));
+                let told = self.hosts[host].report(lag, every, self.now);
+                let (position, primary) = (told.position.filter(|_| !dead), told.role == Some(Role::Primary));
+                let queue = told.queue.unwrap_or_default() as u64;
+                self.soon(Event::ProbeBack { router, epoch, host, position, queue, primary });
+            }
+            Event::ProbeBack { router, epoch, host, position, queue, primary }
+                if self.seats[router].epoch == epoch =>
+            {
+                let host = self.hosts[host].host;
+                let role = Some(if primary { Role::Primary } else { Role::Replica });
+                let (ending, told) = match position {
+                    Some(_) => (Ending::Answered, Standing { role, position, queue: Some(queue as f64) }),
+                    None => (Ending::Reset, Standing::default()),
+                };
+                self.call(router, |router, out| router.probed(host, ending, told, out));
+            }
+            Event::Wake { router, epoch } if self.seats[router].epoch == epoch => {
+                self.call(router, |router, out| router.woken(out));
+            }
+            Event::List { router, epoch } if self.seats[router].epoch == epoch => self.tell_list(router),
+            Event::Fault(nth) => self.fault(self.trial.faults[nth].trouble),
+            Event::Replace(host) => {
+                self.hosts[host].draining = Some(self.now);
+                let new = self.add_host(self.hosts[host].group, false);
+                self.hosts[new].started = Some(self.now);
+                self.list_all();
+                self.at(self.now + Span(self.trial.drain_grace_ms * 2000), Event::Gone(host));
+            }
+            Event::Gone(host) => {
+                self.hosts[host].gone = true;
+                self.list_all();
+            }
+            Event::Restart(router) => self.start(router),
+            Event::Second(second) => {
+                let of = |(nth, host): (usize, &Db)| (host.usable() && !host.primary).then_some(nth);
+                let now: Vec<usize> = self.hosts.iter().enumerate().filter_map(of).collect();
+                now.iter().for_each(|host| self.ledger.usable(second, *host));
+                self.usable.insert(second, now);
+            }
+            // Meant for an earlier life of the router.
+            _ => {}
+        }
+    }
+
+    fn fault(&mut self, trouble: Trouble) {
+        match trouble {
+            Trouble::Release { part, over_ms } => {
+                let mut of: Vec<usize> = (0..self.hosts.len())
+                    .filter(|h| self.hosts[*h].usable() && !self.hosts[*h].primary)
+                    .collect();
+                let count = (of.len() as f64 * part) as u64;
+                for nth in 0..count {
+                    let host = of.swap_remove(self.rng.random_range(0..of.len()));
+                    self.at(self.now + Span(over_ms * 1000 * nth / count), Event::Replace(host));
+                }
+            }
+            Trouble::Herd { part, back_ms } => {
+                let mut of: Vec<usize> = (0..self.seats.len()).collect();
+                for _ in 0..(of.len() as f64 * part) as usize {
+                    let router = of.swap_remove(self.rng.random_range(0..of.len()));
+                    let seat = &mut self.seats[router];
+                    (seat.router, seat.epoch) = (None, seat.epoch + 1);
+                    seat.lines.clear();
+                    for (_, open) in std::mem::take(&mut seat.open) {
+                        self.ledger.void(open.number);
+                    }
+                    self.at(self.now + Span(back_ms * 1000), Event::Restart(router));
+                }
+            }
+            Trouble::Slow { part, factor } => {
+                for host in &mut self.hosts {
+                    if !host.primary && self.rng.random_bool(part) {
+                        host.slow = factor;
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, router: usize, origin: (u64, Time), group: u16, write: bool, tries: u8) {
+        self.numbers += 1;
+        let (number, timeout) = (self.numbers, Span(self.trial.timeout_ms * 1000));
+        self.ledger.taken(number, origin, write, self.now + timeout);
+        let seat = &mut self.seats[router];
+        seat.last += 1;
+        let id = seat.last;
+        let open = Open { number, origin, group, write, tries, sent: Vec::new(), over: false };
+        seat.open.insert(id, open);
+        if self.trial.routing == Routing::Perfect {
+            return self.take_perfect(router, id, group, write);
+        }
+        self.call(router, |router, out| {
+            router.take(id, usize::from(write), group, 0, None, timeout, out);
+        });
+    }
+
+    fn take_perfect(&mut self, router: usize, id: CommandId, group: u16, write: bool) {
+        let of: Vec<(usize, f64)> = (0..self.hosts.len())
+            .map(|h| (h, &self.hosts[h]))
+            .filter(|(_, host)| host.group == group && host.usable() && host.primary == write)
+            .map(|(h, host)| (h, f64::from(host.cores) * host.warmth(&self.cold, self.now) / host.slow))
+            .collect();
+        let mut at = self.rng.random_range(0.0..of.iter().map(|(_, w)| w).sum::<f64>().max(1e-9));
+        let found = of.iter().find(|(_, weight)| {
+            at -= weight;
+            at < 0.0
+        });
+        let act = match found.or(of.last()) {
+            Some((host, _)) => Act::Dispatch(id, self.hosts[*host].host, Span(self.trial.timeout_ms * 1000)),
+            None => Act::Final(id, Answer::Throttled),
+        };
+        self.carry_out(router, Acts { now: self.now, queue: vec![act] });
+    }
+
+    fn reach(
+        &mut self, host: usize, router: usize, epoch: u32, command: u32, nth: u16, work: Span, write: bool,
+    ) {
+        let number = self.seats[router].open.get(&command).map(|open| open.number);
+        if write && !self.hosts[host].primary {
+            return self.soon(Event::Back { router, epoch, command, nth, ending: MISS, host });
+        }
+        if !write {
+            let second = (self.now - START).0 / 1_000_000;
+            self.ledger.load(second, host, 1.0 / f64::from(self.hosts[host].cores));
+        }
+        let (was, job) = (self.hosts[host].fallen, Job { router, command, nth, work });
+        let ending = match self.hosts[host].arrive(job, &self.cold, self.now) {
+            Arrived::Runs(takes) => {
+                self.at(self.now + takes, Event::Done { host, router, command, nth, work });
+                None
+            }
+            Arrived::Waits => None,
+            Arrived::Full => Some(FULL),
+            Arrived::Dead => Some(RESET),
+        };
+        if !was && self.hosts[host].fallen {
+            self.ledger.breaks("cold", format!("host {host} fell over at {:?}", self.now - START));
+        }
+        match (ending, number) {
+            (None, Some(number)) => self.ledger.may_run(number),
+            (None, None) => {}
+            (Some(ending), _) => self.soon(Event::Back { router, epoch, command, nth, ending, host }),
+        }
+    }
+
+    fn back(&mut self, router: usize, command: u32, nth: u16, ending: u8, host: usize) {
+        let role = Some(if self.hosts[host].primary { Role::Primary } else { Role::Replica });
+        let noted = Standing { role, ..Standing::default() };
+        let (ending, over) = match ending {
+            ANSWERED => (Ending::Answered, true),
+            FULL => (Ending::Full, false),
+            MISS => (Ending::Miss, false),
+            _ => (Ending::Reset, false),
+        };
+        let noted = if ending == Ending::Reset { Standing::default() } else { noted };
+        let Some(open) = self.seats[router].open.get_mut(&command) else { return };
+        let out = open.sent.get(usize::from(nth)).is_some_and(|sent| sent.3);
+        if out && over && !open.over {
+            open.over = true;
+            let (number, write, (at, _, sent, _)) = (open.number, open.write, open.sent[usize::from(nth)]);
+            self.ledger.answered(number, self.now, Answer::Answered);
+            let lag = Span(if self.hosts[at].primary { 0 } else { self.trial.lag_ms * 1000 });
+            if !write && lag > Span(self.trial.bound_ms * 1000) {
+                self.ledger.breaks("stale", format!("command {number}, sent at {sent:?}"));
+            }
+        }
+        if self.trial.routing == Routing::Perfect && !over && out {
+            self.finish(router, command, Answer::Throttled);
+        }
+        self.ended(router, command, nth, ending, over, noted);
+    }
+
+    fn ended(&mut self, router: usize, command: u32, nth: u16, ending: Ending, over: bool, noted: Standing) {
+        let seat = &mut self.seats[router];
+        let Some(open) = seat.open.get_mut(&command) else { return };
+        let Some(sent) = open.sent.get_mut(usize::from(nth)).filter(|sent| sent.3) else { return };
+        sent.3 = false;
+        let (host, number) = (sent.0, open.number);
+        let line = seat.lines.entry(host).or_default();
+        line.0 = line.0.saturating_sub(1);
+        if ending.never_ran() && ending != Ending::Miss && ending != Ending::Full {
+            self.ledger.never_ran(number);
+        }
+        self.call(router, |router, out| {
+            if let Some(handle) = router.handle(command) {
+                handle.dispatch_ended(router, nth, ending, over, noted, Standing::default(), out);
+            }
+        });
+        self.forget(router, command);
+    }
+
+    /// A command that is over and has nothing out is forgotten.
+    fn forget(&mut self, router: usize, command: u32) {
+        let open = &mut self.seats[router].open;
+        if open.get(&command).is_some_and(|open| open.over && open.sent.iter().all(|sent| !sent.3)) {
+            open.remove(&command);
+        }
+    }
+
+    fn finish(&mut self, router: usize, command: u32, answer: Answer) {
+        let Some(open) = self.seats[router].open.get_mut(&command) else { return };
+        open.over = true;
+        let (number, origin, group, write, tries) =
+            (open.number, open.origin, open.group, open.write, open.tries);
+        self.ledger.answered(number, self.now, answer);
+        if answer == Answer::Throttled && tries < RETRIES {
+            let again = Event::Again { origin, group, write, tries: tries + 1, router };
+            self.at(self.now + RETRY_AFTER, again);
+        }
+        self.forget(router, command);
+    }
+
+    fn call(&mut self, router: usize, call: impl FnOnce(&mut Router, &mut Acts)) {
+        let mut out = Acts { now: self.now, queue: Vec::new() };
+        let Some(at) = self.seats[router].router.as_mut() else { return };
+        call(at, &mut out);
+        self.carry_out(router, out);
+    }
+
+    fn carry_out(&mut self, router: usize, acts: Acts) {
+        let epoch = self.seats[router].epoch;
+        for act in acts.queue {
+            match act {
+                Act::Dispatch(command, host, time_out) => self.dispatch(router, command, host, time_out),
+                Act::Cancel(command, nth) => {
+                    let sent =
+                        self.seats[router].open.get(&command).and_then(|o| o.sent.get(usize::from(nth)));
+                    let Some((host, work, ..)) = sent.copied() else { continue };
+                    let never = self.hosts[host].withdraw(&Job { router, command, nth, work });
+                    let number = self.seats[router].open.get(&command).map(|open| open.number);
+                    if let Some(number) = number.filter(|_| never) {
+                        self.ledger.never_ran(number);
+                    }
+                    self.ended(router, command, nth, Ending::Cancelled, true, Standing::default());
+                }
+                Act::Final(command, answer) => self.finish(router, command, answer),
+                Act::Probe(host) => {
+                    self.ledger.probes += 1;
+                    let host = self.by_host[&host];
+                    self.connect(router, host);
+                    let line = self.seats[router].lines.entry(host).or_default();
+                    line.0 = line.0.saturating_sub(1);
+                    self.soon(Event::ProbeReach { router, epoch, host });
+                }
+                Act::Wake(after) => self.at(self.now + after, Event::Wake { router, epoch }),
+            }
+        }
+    }
+
+    /// Takes a connection that is kept, or opens one.
+    fn connect(&mut self, router: usize, host: usize) {
+        let line = self.seats[router].lines.entry(host).or_default();
+        line.0 += 1;
+        if line.0 > line.1 {
+            line.1 = line.0;
+            self.ledger.connections += 1;
+        }
+    }
+
+    fn dispatch(&mut self, router: usize, command: u32, host: Host, time_out: Span) {
+        let host = self.by_host[&host];
+        self.connect(router, host);
+        let work = Exp::new(1.0).expect("a rate above 0").sample(&mut self.rng) * self.trial.work_ms * 1e3;
+        let work = Span(work.max(1.0) as u64);
+        let (now, epoch) = (self.now, self.seats[router].epoch);
+        let seat = &mut self.seats[router];
+        let Some(open) = seat.open.get_mut(&command) else { return };
+        let nth = open.sent.len() as u16;
+        open.sent.push((host, work, now, true));
+        let (number, write) = (open.number, open.write);
+        let told = seat.told.get(&host).copied();
+        if told.is_some_and(|told| now - told > Span(self.trial.drain_grace_ms * 1000)) {
+            self.ledger.breaks("drains", format!("command {number} was sent to host {host}, which drains"));
+        }
+        self.ledger.sent(number, now);
+        self.soon(Event::Reach { host, router, epoch, command, nth, work, write });
+        self.at(now + time_out, Event::TimeOut { router, epoch, command, nth });
+    }
+}
--- /dev/null
+++ b/crates/comethitch-lab/src/hosts.rs
@@ -0,0 +1,189 @@
+//! Database hosts in simulated time: some cores, a line of commands in order of arrival, a cold start, and a fall.
+
+use comethitch::time::{Span, Time};
+use comethitch::{Host, Role, Shard, Standing};
+use std::collections::VecDeque;
+
+/// One dispatch at a host: which router sent it, of which command, and how much work it is on one core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Job {
+    pub router: usize,
+    pub command: u32,
+    pub nth: u16,
+    pub work: Span,
+}
+
+/// What is told of hosts that have just started.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    pub from: f64,
+    pub within: Span,
+    pub multiple: f64,
+    pub span: Span,
+}
+
+#[derive(Debug)]
+pub struct Box {
+    pub host: Host,
+    pub group: Shard,
+    pub cores: u16,
+    pub primary: bool,
+    pub started: Option<Time>,
+    pub draining: Option<Time>,
+    pub gone: bool,
+    pub fallen: bool,
+    /// 1 as usual, 3 if it takes three times as long.
+    pub slow: f64,
+    pub queue_most: usize,
+    waiting: VecDeque<Job>,
+    running: Vec<Job>,
+    /// What was sent lately, for its fall: at most as long as `Cold::span`.
+    pressure: VecDeque<(Time, Span)>,
+    reported: (Time, usize),
+}
+
+/// What became of a job that arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrived {
+    /// It runs and is done after this.
+    Runs(Span),
+    Waits,
+    Full,
+    /// Nobody answers: gone, or fallen over.
+    Dead,
+}
+
+impl Box {
+    pub fn new(host: Host, group: Shard, cores: u16, primary: bool, queue_per_core: u16) -> Box {
+        Box {
+            host,
+            group,
+            cores,
+            primary,
+            started: None,
+            draining: None,
+            gone: false,
+            fallen: false,
+            slow: 1.0,
+            queue_most: usize::from(cores) * usize::from(queue_per_core),
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            pressure: VecDeque::new(),
+            reported: (Time(0), 0),
+        }
+    }
+
+    /// The part of its power that it has now.
+    pub fn warmth(&self, cold: &Cold, now: Time) -> f64 {
+        let passed = |at: Time| (now - at).over(cold.within).min(1.0);
+        self.started.map_or(1.0, |at| cold.from + (1.0 - cold.from) * passed(at))
+    }
+
+    /// Whether new commands should come here.
+    pub fn usable(&self) -> bool {
+        !self.gone && !self.fallen && self.draining.is_none()
+    }
+
+    fn takes(&self, job: &Job, cold: &Cold, now: Time) -> Span {
+        job.work.scaled(self.slow / self.warmth(cold, now))
+    }
+
+    pub fn arrive(&mut self, job: Job, cold: &Cold, now: Time) -> Arrived {
+        if self.gone || self.fallen {
+            return Arrived::Dead;
+        }
+        self.press(job.work, cold, now);
+        if self.fallen {
+            return Arrived::Dead;
+        }
+        if self.running.len() < usize::from(self.cores) {
+            self.running.push(job);
+            return Arrived::Runs(self.takes(&job, cold, now));
+        }
+        if self.waiting.len() >= self.queue_most {
+            return Arrived::Full;
+        }
+        self.waiting.push_back(job);
+        Arrived::Waits
+    }
+
+    /// Work that reaches a cold host adds to what may push it over, even if it is turned away.
+    fn press(&mut self, work: Span, cold: &Cold, now: Time) {
+        let warmth = self.warmth(cold, now);
+        self.pressure.push_back((now, work));
+        while self.pressure.front().is_some_and(|(at, _)| now - *at > cold.span) {
+            self.pressure.pop_front();
+        }
+        let sent: u64 = self.pressure.iter().map(|(_, work)| work.0).sum();
+        let bears = cold.multiple * warmth * f64::from(self.cores) * cold.span.0 as f64;
+        self.fallen = warmth < 1.0 && sent as f64 > bears;
+    }
+
+    /// A job is done: the next one in line, and how long it takes.
+    pub fn done(&mut self, job: &Job, cold: &Cold, now: Time) -> Option<(Job, Span)> {
+        self.running.retain(|other| other != job);
+        let next = self.waiting.pop_front()?;
+        self.running.push(next);
+        Some((next, self.takes(&next, cold, now)))
+    }
+
+    /// Takes back a job that still waits. One that runs goes on.
+    pub fn withdraw(&mut self, job: &Job) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|other| other != job);
+        self.waiting.len() < before
+    }
+
+    pub fn runs(&self, job: &Job) -> bool {
+        self.running.contains(job)
+    }
+
+    /// What it says of itself: renewed every so often.
+    pub fn report(&mut self, lag: Span, every: Span, now: Time) -> Standing {
+        if now - self.reported.0 >= every || self.reported.0 == Time(0) {
+            self.reported = (now, self.waiting.len());
+        }
+        let behind = if self.primary { Span(0) } else { lag };
+        Standing {
+            role: Some(if self.primary { Role::Primary } else { Role::Replica }),
+            position: Some(self.reported.0 - behind),
+            queue: Some(self.reported.1 as f64),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const COLD: Cold = Cold { from: 0.2, within: Span(10_000_000), multiple: 2.5, span: Span(1_500_000) };
+
+    fn job(nth: u16) -> Job {
+        Job { router: 0, command: 1, nth, work: Span(100_000) }
+    }
+
+    #[test]
+    fn it_serves_in_order_and_turns_away_what_it_has_no_place_for() {
+        let mut host = Box::new(Host::default(), 0, 1, false, 1);
+        let now = Time(1_000_000);
+        assert_eq!(host.arrive(job(0), &COLD, now), Arrived::Runs(Span(100_000)));
+        assert_eq!(
+            (host.arrive(job(1), &COLD, now), host.arrive(job(2), &COLD, now)),
+            (Arrived::Waits, Arrived::Full)
+        );
+        assert_eq!(host.done(&job(0), &COLD, now), Some((job(1), Span(100_000))));
+        assert!(!host.withdraw(&job(1)) && host.runs(&job(1)));
+    }
+
+    #[test]
+    fn a_cold_host_is_slow_and_falls_over_under_more_than_it_bears() {
+        let mut host = Box::new(Host::default(), 0, 1, false, 100);
+        host.started = Some(Time(1_000_000));
+        assert_eq!(host.arrive(job(0), &COLD, Time(1_000_000)), Arrived::Runs(Span(500_000)));
+        // It bears 2.5 * 0.2 * 1.5 s = 0.75 s of work in the first span.
+        let sent = (1..20).position(|nth| host.arrive(job(nth), &COLD, Time(1_000_000)) == Arrived::Dead);
+        assert_eq!(sent, Some(6));
+        let mut warm = Box::new(Host::default(), 0, 1, false, 100);
+        assert!((0..50).all(|nth| warm.arrive(job(nth), &COLD, Time(1_000_000)) != Arrived::Dead));
+    }
+}
--- /dev/null
+++ b/crates/comethitch-lab/src/ledger.rs
@@ -0,0 +1,303 @@
+//! What happened in a trial, held against the rules, and what it comes to.
+
+use comethitch::time::{Span, Time};
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
+
+/// A final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    Answered,
+    Throttled,
+    Failed,
+}
+
+/// How many breaks of rules are written out; all are counted.
+const SHOWN: usize = 20;
+
+#[derive(Debug)]
+struct Record {
+    /// The first try that this is or repeats, and when it was asked.
+    origin: (u64, Time),
+    write: bool,
+    expiry: Time,
+    answer: Option<(Time, Answer)>,
+    sent: u32,
+    /// Dispatches that ran, or may have.
+    ran: u32,
+    /// Its router was killed while it was in hand: nothing is owed.
+    void: bool,
+}
+
+/// Commands of all routers by a number of their own, hosts by theirs.
+#[derive(Debug)]
+pub struct Ledger {
+    target: Span,
+    commands: BTreeMap<u64, Record>,
+    broken: Vec<String>,
+    breaks: u64,
+    in_time: BTreeMap<u64, bool>,
+    throttled: u64,
+    failed: u64,
+    answered: u64,
+    took: Histogram<u64>,
+    pub probes: u64,
+    pub connections: u64,
+    /// By second and host: reads that came there for each core, where the host was usable throughout.
+    loads: BTreeMap<u64, BTreeMap<usize, f64>>,
+}
+
+impl Ledger {
+    pub fn new(target: Span) -> Ledger {
+        Ledger {
+            target,
+            commands: BTreeMap::new(),
+            broken: Vec::new(),
+            breaks: 0,
+            in_time: BTreeMap::new(),
+            throttled: 0,
+            failed: 0,
+            answered: 0,
+            took: Histogram::new_with_bounds(1, 600_000_000, 3).expect("bounds and digits are allowed"),
+            probes: 0,
+            connections: 0,
+            loads: BTreeMap::new(),
+        }
+    }
+
+    /// Counts a break of a rule.
+    pub fn breaks(&mut self, rule: &str, what: String) {
+        self.breaks += 1;
+        if self.broken.len() < SHOWN {
+            self.broken.push(format!("{rule}: {what}"));
+        }
+    }
+
+    pub fn taken(&mut self, command: u64, origin: (u64, Time), write: bool, expiry: Time) {
+        self.in_time.entry(origin.0).or_insert(false);
+        let record = Record { origin, write, expiry, answer: None, sent: 0, ran: 0, void: false };
+        self.commands.insert(command, record);
+    }
+
+    pub fn sent(&mut self, command: u64, at: Time) {
+        let Some(record) = self.commands.get_mut(&command) else { return };
+        record.sent += 1;
+        let (answered, again) = (record.answer.is_some(), record.write && record.ran > 0);
+        if answered {
+            self.breaks("lost", format!("command {command} was sent on at {at:?}, after its final answer"));
+        }
+        if again {
+            self.breaks("twice", format!("write {command} was sent again at {at:?}, though it may have run"));
+        }
+    }
+
+    /// A dispatch came to a host that will run it.
+    pub fn may_run(&mut self, command: u64) {
+        let Some(record) = self.commands.get_mut(&command) else { return };
+        record.ran += 1;
+        if record.write && record.ran > 1 {
+            self.breaks("twice", format!("write {command} ran twice"));
+        }
+    }
+
+    /// A dispatch was taken back, or turned away, before it ran.
+    pub fn never_ran(&mut self, command: u64) {
+        if let Some(record) = self.commands.get_mut(&command) {
+            record.ran = record.ran.saturating_sub(1);
+        }
+    }
+
+    pub fn answered(&mut self, command: u64, at: Time, answer: Answer) {
+        let Some(record) = self.commands.get_mut(&command) else { return };
+        let (before, late) = (record.answer.replace((at, answer)), at > record.expiry);
+        let harmful = answer == Answer::Throttled && record.write && record.ran > 0;
+        let (origin, expiry) = (record.origin, record.expiry);
+        match answer {
+            Answer::Answered => {
+                self.answered += 1;
+                let took = at - origin.1;
+                self.took.saturating_record(took.0);
+                if took <= self.target {
+                    self.in_time.insert(origin.0, true);
+                }
+            }
+            Answer::Throttled => self.throttled += 1,
+            Answer::Failed => self.failed += 1,
+        }
+        if before.is_some() {
+            self.breaks("lost", format!("command {command} has two final answers, the second at {at:?}"));
+        }
+        if late {
+            self.breaks("lost", format!("command {command} was answered at {at:?}, its time was {expiry:?}"));
+        }
+        if harmful {
+            self.breaks("twice", format!("write {command} was throttled, though it may have run"));
+        }
+    }
+
+    /// The router of this command was killed.
+    pub fn void(&mut self, command: u64) {
+        if let Some(record) = self.commands.get_mut(&command) {
+            record.void = true;
+        }
+    }
+
+    /// A host was usable for the whole of this second.
+    pub fn usable(&mut self, second: u64, host: usize) {
+        self.loads.entry(second).or_default().entry(host).or_insert(0.0);
+    }
+
+    pub fn load(&mut self, second: u64, host: usize, part: f64) {
+        *self.loads.entry(second).or_default().entry(host).or_insert(0.0) += part;
+    }
+
+    /// Closes the books at the end of a trial.
+    pub fn close(mut self, end: Time, usable: &dyn Fn(u64, usize) -> bool) -> Report {
+        let owed = |r: &Record| r.answer.is_none() && !r.void && r.expiry < end;
+        let lost: Vec<u64> = self.commands.iter().filter(|(_, r)| owed(r)).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.breaks("lost", format!("command {id} got no final answer"));
+        }
+        let mut spread = Vec::new();
+        let mut idle: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
+        for (second, loads) in &self.loads {
+            let of: Vec<(usize, f64)> =
+                loads.iter().filter(|(host, _)| usable(*second, **host)).map(|(h, l)| (*h, *l)).collect();
+            for (host, load) in &of {
+                let (now, most) = idle.entry(*host).or_default();
+                *now = if *load > 0.0 { 0 } else { *now + 1 };
+                *most = (*most).max(*now);
+            }
+            let mean = of.iter().map(|(_, l)| l).sum::<f64>() / of.len().max(1) as f64;
+            if mean > 0.0 {
+                let variance = of.iter().map(|(_, l)| (l - mean).powi(2)).sum::<f64>() / of.len() as f64;
+                let most = of.iter().map(|(_, l)| *l).fold(0.0, f64::max);
+                spread.push((variance.sqrt() / mean, most / mean));
+            }
+        }
+        let over =
+            |pick: fn(&(f64, f64)) -> f64| spread.iter().map(pick).sum::<f64>() / spread.len().max(1) as f64;
+        let asked = self.in_time.len() as u64;
+        let each = |count: u64| count as f64 / self.answered.max(1) as f64;
+        Report {
+            asked,
+            in_time: self.in_time.values().filter(|yes| **yes).count() as f64 / asked.max(1) as f64,
+            throttled: self.throttled as f64 / self.commands.len().max(1) as f64,
+            failed: self.failed as f64 / self.commands.len().max(1) as f64,
+            p50_ms: self.took.value_at_quantile(0.5) as f64 / 1e3,
+            p99_ms: self.took.value_at_quantile(0.99) as f64 / 1e3,
+            probes: each(self.probes),
+            connections: each(self.connections),
+            variation: over(|one| one.0),
+            greatest: over(|one| one.1),
+            idle: idle.values().map(|(_, most)| *most).max().unwrap_or(0),
+            breaks: self.breaks,
+            broken: self.broken,
+        }
+    }
+}
+
+/// What a trial came to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// First tries, and the share of them that was answered within the target, repeats counted in.
+    pub asked: u64,
+    pub in_time: f64,
+    /// Of all commands, repeats of clients too.
+    pub throttled: f64,
+    pub failed: f64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    /// For each answered command, over the fleet.
+    pub probes: f64,
+    pub connections: f64,
+    /// Of the reads that came to each usable replica in a second, for its cores: the coefficient of variation, and
+    /// the greatest over the mean; means over the seconds.
+    pub variation: f64,
+    pub greatest: f64,
+    /// The most seconds in a row that a usable replica was without a read.
+    pub idle: u64,
+    pub breaks: u64,
+    /// The first few breaks of rules, in words.
+    pub broken: Vec<String>,
+}
+
+impl Report {
+    pub const HEAD: &str =
+        "asked,in_time,throttled,failed,p50_ms,p99_ms,probes,connections,variation,greatest,idle_s,breaks";
+
+    /// The figures of [`Report::HEAD`], parted by commas.
+    pub fn row(&self) -> String {
+        format!(
+            "{},{:.4},{:.4},{:.4},{:.1},{:.1},{:.3},{:.3},{:.3},{:.2},{},{}",
+            self.asked,
+            self.in_time,
+            self.throttled,
+            self.failed,
+            self.p50_ms,
+            self.p99_ms,
+            self.probes,
+            self.connections,
+            self.variation,
+            self.greatest,
+            self.idle,
+            self.breaks
+        )
+    }
+}
+
+impl Display for Report {
+    fn fmt(&self, f: &mut Formatter) -> fmt::Result {
+        let row = self.row();
+        for (name, value) in Report::HEAD.split(',').zip(row.split(',')) {
+            writeln!(f, "{name:12} {value:>10}")?;
+        }
+        self.broken.iter().try_for_each(|what| writeln!(f, "BROKEN {what}"))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn after(plant: impl Fn(&mut Ledger)) -> Vec<String> {
+        let mut ledger = Ledger::new(Span(100));
+        ledger.taken(1, (1, Time(0)), true, Time(1000));
+        ledger.sent(1, Time(10));
+        ledger.may_run(1);
+        plant(&mut ledger);
+        ledger.close(Time(5000), &|_, _| true).broken
+    }
+
+    #[test]
+    fn each_planted_break_is_found_and_a_clean_course_has_none() {
+        let answer = |l: &mut Ledger, at| l.answered(1, Time(at), Answer::Answered);
+        assert_eq!(after(|l| answer(l, 50)), Vec::<String>::new());
+        let found = |plant: &dyn Fn(&mut Ledger), what: &str| {
+            let broken = after(plant);
+            assert!(broken.iter().any(|text| text.contains(what)), "{what}: {broken:?}");
+        };
+        found(&|_| (), "no final answer");
+        found(&|l| answer(l, 1001), "its time was");
+        found(&|l| (0..2).for_each(|_| answer(l, 50)), "two final answers");
+        found(
+            &|l| {
+                answer(l, 50);
+                l.sent(1, Time(60))
+            },
+            "after its final answer",
+        );
+        found(&|l| l.sent(1, Time(60)), "sent again");
+        found(&|l| l.may_run(1), "ran twice");
+        found(&|l| l.answered(1, Time(50), Answer::Throttled), "was throttled");
+        let unsent = after(|l| {
+            l.never_ran(1);
+            l.sent(1, Time(60));
+            l.may_run(1);
+            answer(l, 90)
+        });
+        assert_eq!(unsent, Vec::<String>::new(), "what surely did not run may go again");
+        assert_eq!(after(|l| l.void(1)), Vec::<String>::new(), "a killed router owes nothing");
+    }
+}
--- /dev/null
+++ b/crates/comethitch-lab/tests/fleet.rs
@@ -0,0 +1,57 @@
+//! Fleets of many routers in simulated time: what holds for each must come out right for the sum of them.
+
+use comethitch_lab::fleet::play;
+use comethitch_lab::ledger::Report;
+use comethitch_lab::trial::{Fault, Routing, Trial, Trouble};
+
+fn small() -> Trial {
+    Trial { routers: 20, groups: 2, replicas: 11, seconds: 12, cores: vec![2, 2, 3], ..Trial::default() }
+}
+
+fn perfect(trial: &Trial) -> Report {
+    play(&Trial { routing: Routing::Perfect, ..trial.clone() }).expect("a trial")
+}
+
+fn kept(trial: &Trial) -> Report {
+    let report = play(trial).expect("a trial");
+    assert_eq!(report.broken, Vec::<String>::new(), "seed {}", trial.seed);
+    report
+}
+
+#[test]
+fn hosts_are_loaded_nearly_as_evenly_as_by_perfect_knowledge_and_few_probes_do() {
+    for seed in [1, 2] {
+        // Each router sees some five commands a second of a group.
+        let trial = Trial { seed, routers: 60, load: 0.4, ..small() };
+        let (report, ideal) = (kept(&trial), perfect(&trial));
+        assert!(report.variation < ideal.variation * 1.6, "{report}\nwith perfect knowledge\n{ideal}");
+        assert!(report.in_time > 0.99 && report.idle <= 2 && report.probes < 0.7, "{report}");
+    }
+}
+
+#[test]
+fn half_of_the_hosts_replaced_and_seven_in_ten_routers_killed_break_no_rule() {
+    for seed in [1, 2] {
+        let release = Trouble::Release { part: 0.5, over_ms: 4000 };
+        let herd = Trouble::Herd { part: 0.7, back_ms: 500 };
+        let faults = vec![Fault { at_ms: 3000, trouble: release }, Fault { at_ms: 5000, trouble: herd }];
+        let report = kept(&Trial { seed, faults, load: 0.4, ..small() });
+        assert!(report.in_time > 0.9, "seed {seed}: {report}");
+    }
+}
+
+#[test]
+fn all_hosts_cold_are_not_pushed_over_by_all_routers_together() {
+    let trial = Trial { all_cold: true, load: 0.8, ..small() };
+    let report = kept(&trial);
+    assert!(report.in_time > 0.2, "what hosts bear is sent: {report}");
+    // The trial is sharp: without budgets for cold hosts the same load does push them over.
+    assert!(perfect(&trial).breaks > 0);
+}
+
+#[test]
+fn a_router_that_sees_many_times_what_others_do_crowds_no_host() {
+    let trial = Trial { skew: 1.6, ..small() };
+    let report = kept(&trial);
+    assert!(report.in_time > 0.98 && report.greatest < 3.0, "{report}");
+}
