Let a cold host's budget grow with what it answered itself

Change: beside warm peers and one core, `Ramp::budget` takes what the host itself has answered this router in the span before: it can answer no more than it can do, and answers each router its part of that. Half of what the multiple allows is used, so that budgets grow by a quarter a span at a multiple of 2.5 while all that is sent is answered.

Tried and not kept: what all hosts answered, as much as if they were warm.

--- a/crates/comethitch-fleet/src/share.rs
+++ b/crates/comethitch-fleet/src/share.rs
@@ -27,6 +27,10 @@
 /// peers that are sent more than they can do.
 const PEERS_SHARE: f64 = 0.4;
 
+/// The part of what a host surely bears that its budget is reckoned from when it is the host's own answers that
+/// prove it; the rest is left to chance.
+const BORNE_SHARE: f64 = 0.5;
+
 /// What the settings say of hosts that have just started, and how many routers there are.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Ramp {
@@ -49,10 +53,14 @@
     /// What one router may send to a cold host in a span, in the unit of `peers`: its part of what the ramp surely
     /// allows. That is reckoned from `peers`, what this router sends in a span to a warm host of its power on the
     /// mean over all warm hosts, as these bear the like from all routers; or from one core's time, if that is more.
-    pub fn budget(&self, warmth: f64, reach: f64, peers: f64) -> f64 {
+    /// Or from what the host itself has `borne` in the span before, whatever its warmth: it can answer no more than it
+    /// can do, and answers each router its part of that. Budgets so grow from span to span, where a multiple of over
+    /// two allows it, for as long as what is sent is answered.
+    pub fn budget(&self, warmth: f64, reach: f64, peers: f64, borne: f64) -> f64 {
         let sharers = sharers(self.routers, reach);
         let alike = peers * f64::from(self.routers) / sharers;
-        self.multiple * warmth * (alike * PEERS_SHARE).max(self.span.0 as f64 / sharers)
+        let ramp = warmth * (alike * PEERS_SHARE).max(self.span.0 as f64 / sharers);
+        self.multiple * ramp.max(borne * BORNE_SHARE)
     }
 }
 
@@ -142,12 +150,14 @@
         let peers = 100_000.0;
         for reach in [1.0, 0.3, 0.1] {
             let users = 300.0 * reach;
-            let all = users * ramp.budget(0.2, reach, peers);
+            let all = users * ramp.budget(0.2, reach, peers, 0.0);
             let most = 2.5 * 0.2 * 0.4 * 300.0 * peers;
             assert!(all <= most * 1.0001 && all > most * 0.8, "{reach}: {all} for {most}");
         }
         assert!((ramp.warmth(Some(Time(0)), Time(9_000_000)) - 0.6).abs() < 1e-9);
         assert_eq!(ramp.warmth(None, Time(0)), 1.0);
+        // What it has borne itself counts as it is, and half of what the multiple allows is used.
+        assert_eq!(ramp.budget(0.2, 1.0, 0.0, 400_000.0), 500_000.0);
     }
 
     #[test]
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -109,8 +109,9 @@
     prove_next: Time,
     /// Answer times as thousandths of the usual one of their command group.
     pace: Histogram,
-    /// Work sent lately: it leaks away over the span in which a cold host is judged.
+    /// Work sent and answered lately: it leaks away over the span in which a cold host is judged.
     sent: Leak,
+    bore: Leak,
     spent: share::Spent,
     /// Told as gone, or missing from a whole list.
     gone: bool,
@@ -634,7 +635,7 @@
         let carried = |j: usize| (self.nodes[j].sent.left(now, span), self.nodes[j].power);
         let (sent, power) = warm.map(carried).fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         let peers = if power > 0.0 { sent / power * node.power } else { 0.0 };
-        let budget = self.deployment.ramp.budget(warmth, reach, peers);
+        let budget = self.deployment.ramp.budget(warmth, reach, peers, node.bore.left(now, span));
         node.spent.admits(self.heft(group), budget, self.salt, node.host.number(), now, span)
     }
 
@@ -715,6 +716,7 @@
             Ending::Moot => {}
         }
         if ending == Ending::Answered {
+            node.bore.add((work * 2).max(target / 8).0 as f64, now, self.deployment.ramp.span);
             self.took[kind].add(took);
             node.pace.add(Span((took.over(usual) * 1000.0) as u64));
             late = Some(took > target / 2);
