--- a/crates/comethitch-lab/src/fleet.rs
+++ b/crates/comethitch-lab/src/fleet.rs
@@ -199,7 +199,8 @@
     let Fleet { ledger, usable, .. } = fleet;
     let throughout = |second: u64, host: usize| {
         let at = |second: &u64| usable.get(second).is_some_and(|hosts| hosts.contains(&host));
-        at(&second) && at(&(second + 1))
+        // The last second is cut short, and no measure of evenness.
+        second < trial.seconds && at(&second) && at(&(second + 1))
     };
     Ok(ledger.close(end, &throughout))
 }
--- a/crates/comethitch-lab/tests/fleet.rs
+++ b/crates/comethitch-lab/tests/fleet.rs
@@ -42,9 +42,9 @@
 
 #[test]
 fn all_hosts_cold_are_not_pushed_over_by_all_routers_together() {
-    let trial = Trial { all_cold: true, load: 0.8, ..small() };
+    let trial = Trial { all_cold: true, load: 0.5, ..small() };
     let report = kept(&trial);
-    assert!(report.in_time > 0.2, "what hosts bear is sent: {report}");
+    assert!(report.in_time > 0.75, "what hosts have shown to bear is sent: {report}");
     // The trial is sharp: without budgets for cold hosts the same load does push them over.
     assert!(perfect(&trial).breaks > 0);
 }
