--- a/crates/comethitch/tests/scenarios.rs
+++ b/crates/comethitch/tests/scenarios.rs
@@ -5,7 +5,7 @@
 //! list a primary, b, c cold    the list, whole: role, `cold` (started now), `draining` or `gone`
 //! pair                         primary a and replica b are listed, a was probed, it is 10ms
 //! at 40ms                      the time from the start; what was to be woken before is woken
-//! probed a,b ok primary -20ms  the end of a probe of each, and what the host says of itself
+//! probed a,b ok primary -20ms  the end of a probe of each, and what the host says of itself (q9: nine wait there)
 //! take 1 bounded for 600ms     a command of a group, with its client timeout (`after 30ms`: since its write)
 //! ended 1.0 reset [over] [role [position]]   the end of a dispatch
 //! places 4                     places for hosts are held, no more: a letter and a number, as b17, is one too
@@ -176,7 +176,8 @@
             _ => None,
         });
         let back = words.iter().find(|word| word.starts_with('-'));
-        Standing { role, position: back.map(|word| self.acts.now - span(word)), queue: None }
+        let queue = words.iter().find_map(|word| word.strip_prefix('q')?.parse().ok());
+        Standing { role, position: back.map(|word| self.acts.now - span(word)), queue }
     }
 
     fn until(&mut self, time: Time) {
