--- a/crates/comethitch-lab/src/fleet.rs
+++ b/crates/comethitch-lab/src/fleet.rs
@@ -356,7 +356,7 @@
                 }
             }
             Event::Reach { host, router, epoch, command, nth, work, write } => {
-                self.reach(host, router, epoch, command, nth, work, write);
+                self.reach(host, Job { router, command, nth, work }, epoch, write);
             }
             Event::Done { host, router, command, nth, work } => {
                 let job = Job { router, command, nth, work };
@@ -495,9 +495,8 @@
         self.carry_out(router, Acts { now: self.now, queue: vec![act] });
     }
 
-    fn reach(
-        &mut self, host: usize, router: usize, epoch: u32, command: u32, nth: u16, work: Span, write: bool,
-    ) {
+    fn reach(&mut self, host: usize, job: Job, epoch: u32, write: bool) {
+        let Job { router, command, nth, work } = job;
         let number = self.seats[router].open.get(&command).map(|open| open.number);
         if write && !self.hosts[host].primary {
             return self.soon(Event::Back { router, epoch, command, nth, ending: MISS, host });
@@ -506,7 +505,7 @@
             let second = (self.now - START).0 / 1_000_000;
             self.ledger.load(second, host, 1.0 / f64::from(self.hosts[host].cores));
         }
-        let (was, job) = (self.hosts[host].fallen, Job { router, command, nth, work });
+        let was = self.hosts[host].fallen;
         let ending = match self.hosts[host].arrive(job, &self.cold, self.now) {
             Arrived::Runs(takes) => {
                 self.at(self.now + takes, Event::Done { host, router, command, nth, work });
