Show the lab's check of stale reads to fail, and drop what nothing used

With replicas 4 s behind a bound of 3 s the baseline, which asks no one's position, breaks the rule and the module does not. A count that nothing read and an ending that never comes are gone.

--- a/crates/comethitch-lab/src/fleet.rs
+++ b/crates/comethitch-lab/src/fleet.rs
@@ -557,12 +557,9 @@
         let Some(open) = seat.open.get_mut(&command) else { return };
         let Some(sent) = open.sent.get_mut(usize::from(nth)).filter(|sent| sent.3) else { return };
         sent.3 = false;
-        let (host, number) = (sent.0, open.number);
+        let host = sent.0;
         let line = seat.lines.entry(host).or_default();
         line.0 = line.0.saturating_sub(1);
-        if ending.never_ran() && ending != Ending::Miss && ending != Ending::Full {
-            self.ledger.never_ran(number);
-        }
         self.call(router, |router, out| {
             if let Some(handle) = router.handle(command) {
                 handle.dispatch_ended(router, nth, ending, over, noted, Standing::default(), out);
--- a/crates/comethitch-lab/src/ledger.rs
+++ b/crates/comethitch-lab/src/ledger.rs
@@ -23,7 +23,6 @@
     write: bool,
     expiry: Time,
     answer: Option<(Time, Answer)>,
-    sent: u32,
     /// Dispatches that ran, or may have.
     ran: u32,
     /// Its router was killed while it was in hand: nothing is owed.
@@ -76,13 +75,12 @@
 
     pub fn taken(&mut self, command: u64, origin: (u64, Time), write: bool, expiry: Time) {
         self.in_time.entry(origin.0).or_insert(false);
-        let record = Record { origin, write, expiry, answer: None, sent: 0, ran: 0, void: false };
+        let record = Record { origin, write, expiry, answer: None, ran: 0, void: false };
         self.commands.insert(command, record);
     }
 
     pub fn sent(&mut self, command: u64, at: Time) {
-        let Some(record) = self.commands.get_mut(&command) else { return };
-        record.sent += 1;
+        let Some(record) = self.commands.get(&command) else { return };
         let (answered, again) = (record.answer.is_some(), record.write && record.ran > 0);
         if answered {
             self.breaks("lost", format!("command {command} was sent on at {at:?}, after its final answer"));
--- a/crates/comethitch-lab/tests/fleet.rs
+++ b/crates/comethitch-lab/tests/fleet.rs
@@ -55,3 +55,12 @@
     let report = kept(&trial);
     assert!(report.in_time > 0.98 && report.greatest < 3.0, "{report}");
 }
+
+#[test]
+fn replicas_past_the_bound_answer_no_read() {
+    let trial = Trial { lag_ms: 4000, load: 0.2, seconds: 6, ..small() };
+    kept(&trial);
+    // The trial is sharp: whoever does not ask how old the data are reads stale ones.
+    let blind = perfect(&trial);
+    assert!(blind.broken.iter().any(|what| what.starts_with("stale")), "{blind}");
+}
