Ask the other members whether a group keeps a primary that is out of reach

A print at the refusal showed the group Unhealthy, the primary with three strikes and no position of any other member: since replicas are proven only as bounded reads need it, nobody asks them for a group's writes and fresh reads, and `kept` had nothing to judge by. At fault: `prove`, which left every need but the bounded one out.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -475,8 +475,8 @@
         let coming = self.just_in_time && replicas.iter().any(|i| self.nodes[*i].probe_sent.is_some());
         let spared = || group.primary.filter(|p| !coming && spare(p));
         let other = if drawn.is_empty() { freshest().or_else(spared) } else { None };
-        // The draw is even among equals: a host's part is its power, less what it lacks of warmth and of pace, and
-        // of room for what waits there and what this router has out there.
+        // The draw is even among equals: a host's part is its power, less what it lacks of warmth and pace,
+        // and of room for what waits there and what this router has out there.
         let work = self.work(command.group);
         let part = |i: usize| {
             let (node, drawn) = (&self.nodes[i], circle.iter().find(|m| m.at == i).map_or(0.0, |m| m.draw));
@@ -560,8 +560,7 @@
         self.deployment.ramp.warmth(self.nodes[i].started, now)
     }
 
-    /// Beyond the design: the replicas that this router uses, few enough to know them well. Where there are many
-    /// routers and hosts each router has some of its own, all together have them all.
+    /// Beyond the design: the replicas that this router uses, few enough to know them well.
     fn circle(&self, shard: Shard, now: Time) -> Vec<Member> {
         let group = &self.groups[&shard];
         // One that was just told to be too far behind gives way too, until it is time to ask again.
@@ -592,10 +591,13 @@
 
     /// Asks for what a bounded read needs: the proofs of its circle that run out before the next could come.
     fn prove(&mut self, shard: Shard, group: usize, out: &mut dyn Outlet) {
-        let Need::Bounded(bound) = self.deployment.groups[group].need else { return };
-        if !self.just_in_time || !self.deployment.may_probe || !self.groups.contains_key(&shard) {
-            return;
-        }
+        let known = self.groups.get(&shard).filter(|_| self.just_in_time && self.deployment.may_probe);
+        let bound = match (self.deployment.groups[group].need, known) {
+            (Need::Bounded(bound), Some(_)) => bound,
+            // Whether the group keeps a primary in doubt shows in whether its other members move on.
+            (Need::Write | Need::Fresh, Some(known)) if known.state == State::Unhealthy => SILENCE,
+            _ => return,
+        };
         let now = out.now();
         let lasts = proof::lasts(bound - bound / MARGIN, PROBE_AGAIN);
         for Member { at, reach, .. } in self.circle(shard, now) {
@@ -852,10 +854,9 @@
         }
         let now = out.now();
         let calm = self.tightest.clamp(PROBE_EVERY / 5, PROBE_EVERY);
-        // The longest due first: where few probes are paid for, each member has its turn.
         let mut due: Vec<usize> =
             (0..self.nodes.len()).filter(|i| self.nodes[*i].probe_next <= now).collect();
-        // First the one that the list names.
+        // First the one that the list names, then the longest due: where few are paid for, each has its turn.
         let named = |i: usize| self.groups[&self.nodes[i].shard].listed == Some(i);
         due.sort_by_key(|i| (!named(*i), self.nodes[*i].probe_next));
         for i in due {
@@ -868,8 +869,8 @@
             let suspect = group.state == State::Unhealthy && group.primary == Some(i);
             let hurried = group.state == State::Failover || suspect || parting || node.mute;
             let period = if hurried { PROBE_EVERY / 4 } else { calm };
-            // Replicas prove themselves as commands need it, and a primary by its answers: it is asked if they
-            // stay out. Without commands nobody need know.
+            // Replicas prove themselves as commands need it, and a primary by its answers: it is asked if
+            // they stay out. Without commands nobody need know.
             let silent = node.asked > node.alive && now - node.asked >= PROBE_EVERY / 2;
             let needed = group.state == State::Failover
                 || group.primary.is_none()
