The lab plays its trials with real processes on loopback, behind links that it harms

`comethitch-lab live` starts up to 300 comethitchd, plays hosts, discovery, clients and links in one thread (a router's own loopback address tells whose link a connection is, so 300 x 60 links need 60 listeners), kills, stops, restarts, cuts, delays and resets, and holds all against the same ledger.

--- a/crates/comethitch-lab/src/lib.rs
+++ b/crates/comethitch-lab/src/lib.rs
@@ -1,4 +1,4 @@
-//! Many routers before many hosts, in simulated time and in one process.
+//! Many routers before many hosts: in simulated time and in one process, or as processes on loopback ([`live`]).
 //!
 //! The decision module has no clock and no sockets, so hundreds of [`comethitch::Router`]s can be driven over minutes
 //! of simulated time within seconds: a [`trial::Trial`] (a JSON file) says how many, before which hosts, under what
@@ -16,7 +16,11 @@
 //! assert_eq!(report.to_string(), fleet::play(&trial).unwrap().to_string());
 //! ```
 
+pub mod chart;
+pub mod compare;
 pub mod fleet;
 pub mod hosts;
 pub mod ledger;
+pub mod links;
+pub mod live;
 pub mod trial;
--- /dev/null
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -0,0 +1,363 @@
+//! The same trials with real processes of `comethitchd` on loopback, in real time.
+//!
+//! Everything outside the routers is played here, in one thread: database hosts (as in simulated time, [`crate::hosts`]),
+//! discovery, clients, and the links between them. A router reaches the hosts by loopback addresses of its own, so
+//! that a connection tells whose link it is; [`crate::links`] says what becomes of each message on it. What is seen
+//! goes to the same ledger.
+//!
+//! Bounds: 300 routers, 10 minutes, and the descriptors that the system allows. Routers are ended with the trial, also
+//! by SIGINT or SIGTERM.
+
+mod clients;
+mod databases;
+mod list;
+mod routers;
+
+use crate::hosts::{Box as Db, Job};
+use crate::ledger::{Ledger, Report};
+use crate::links::{Fate, Heading, Links};
+use crate::trial::{Trial, Trouble};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use comethitch::time::{Span, Time};
+use futures_lite::{AsyncReadExt, StreamExt, future};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use routers::Fleet as Processes;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, TcpStream};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+/// How much later than the router something may be seen here: many processes share few cores.
+const SLACK: Span = Span(300_000);
+/// Most routers: each is a process.
+const ROUTERS: u16 = 300;
+
+/// All that the parts of a trial share.
+struct Live {
+    trial: Trial,
+    start: Cell<Time>,
+    ledger: RefCell<Ledger>,
+    hosts: RefCell<Vec<Db>>,
+    links: RefCell<Links>,
+    rng: RefCell<ChaCha8Rng>,
+    /// Whom to tell that a job is done: by host and job.
+    waiting: RefCell<BTreeMap<(usize, u32), async_channel::Sender<()>>>,
+    jobs: Cell<u32>,
+    /// The port of each host, the same for all routers.
+    ports: RefCell<Vec<u16>>,
+    /// Changes of the list so far.
+    list: Cell<u64>,
+    /// When a router was told that a host drains.
+    told: RefCell<BTreeMap<(usize, usize), Time>>,
+    processes: Rc<RefCell<Processes>>,
+    usable: RefCell<BTreeMap<u64, Vec<usize>>>,
+    numbers: Cell<u64>,
+    asking: Cell<bool>,
+}
+
+type Shared = Rc<Live>;
+
+fn now() -> Time {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    Time(since.as_micros() as u64)
+}
+
+async fn rest(span: Span) {
+    Timer::after(Duration::from_micros(span.0)).await;
+}
+
+/// The addresses of a router: hosts, discovery and its clients reach it, or it them, there and nowhere else.
+fn address(router: usize, part: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 64 + (router >> 8) as u8, router as u8, part)
+}
+
+/// The router whose address this is.
+fn router_at(address: Ipv4Addr) -> Option<usize> {
+    match address.octets() {
+        [127, high @ 64..=127, low, _] => Some(usize::from(high - 64) << 8 | usize::from(low)),
+        _ => None,
+    }
+}
+
+const TO_HOSTS: u8 = 1;
+const TO_DISCOVERY: u8 = 3;
+
+/// A message of PostgreSQL's protocol.
+fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    [&[kind], &(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
+}
+
+/// The next message: at most 1 MiB.
+async fn read(stream: &mut Async<TcpStream>) -> std::io::Result<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    stream.read_exact(&mut head).await?;
+    let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+    if !(4..=1 << 20).contains(&length) {
+        return Err(std::io::ErrorKind::InvalidData.into());
+    }
+    let mut body = vec![0; length - 4];
+    stream.read_exact(&mut body).await?;
+    Ok((head[0], body))
+}
+
+impl Live {
+    fn chance(&self) -> f64 {
+        self.rng.borrow_mut().random_range(0.0..1.0)
+    }
+
+    /// Waits as long as a message is on its way. `false` if the connection breaks on it.
+    async fn pass(&self, router: usize, host: usize, heading: Heading) -> bool {
+        let draw = self.chance();
+        let fate = || self.links.borrow().fate(router, host, heading, draw);
+        match fate() {
+            Fate::Passes(Span(0)) => true,
+            Fate::Passes(late) => {
+                rest(late).await;
+                true
+            }
+            Fate::Breaks => false,
+            // Silence until the link is whole again; what was on it then is gone.
+            Fate::Lost => {
+                while fate() == Fate::Lost {
+                    rest(Span(20_000)).await;
+                }
+                false
+            }
+        }
+    }
+
+    fn second(&self) -> u64 {
+        (now() - self.start.get()).0 / 1_000_000
+    }
+
+    fn number(&self) -> u64 {
+        self.numbers.set(self.numbers.get() + 1);
+        self.numbers.get()
+    }
+
+    /// So many of these, by chance.
+    fn some(&self, mut of: Vec<usize>, part: f64) -> Vec<usize> {
+        let count = (of.len() as f64 * part).round() as usize;
+        let mut rng = self.rng.borrow_mut();
+        (0..count).map(|_| of.swap_remove(rng.random_range(0..of.len()))).collect()
+    }
+
+    /// The next job in line at a host, or one that has just come, runs on one of its cores.
+    fn run(self: &Rc<Live>, ex: &Rc<LocalExecutor<'static>>, host: usize, job: Job, takes: Span) {
+        let (live, own) = (self.clone(), ex.clone());
+        ex.spawn(async move {
+            rest(takes).await;
+            if let Some(done) = live.waiting.borrow_mut().remove(&(host, job.command)) {
+                let _ = done.try_send(());
+            }
+            let next = live.hosts.borrow_mut()[host].done(&job, &live.trial.cold(), now());
+            if let Some((next, takes)) = next {
+                live.run(&own, host, next, takes);
+            }
+        })
+        .detach();
+    }
+
+    fn changed(&self) {
+        self.list.set(self.list.get() + 1);
+    }
+
+    async fn fault(self: Rc<Live>, ex: Rc<LocalExecutor<'static>>, trouble: Trouble) {
+        let routers: Vec<usize> = (0..usize::from(self.trial.routers)).collect();
+        let replicas = |live: &Live| -> Vec<usize> {
+            let hosts = live.hosts.borrow();
+            (0..hosts.len()).filter(|h| hosts[*h].usable() && !hosts[*h].primary).collect()
+        };
+        match trouble {
+            Trouble::Release { part, over_ms } => {
+                let hosts = self.some(replicas(&self), part);
+                let pause = Span(over_ms * 1000 / hosts.len().max(1) as u64);
+                for host in hosts {
+                    let (live, own) = (self.clone(), ex.clone());
+                    ex.spawn(async move {
+                        let group = live.hosts.borrow()[host].group;
+                        live.hosts.borrow_mut()[host].draining = Some(now());
+                        if let Ok(new) = databases::start(&live, &own, group, false) {
+                            live.hosts.borrow_mut()[new].started = Some(now());
+                        }
+                        live.changed();
+                        rest(Span(live.trial.drain_grace_ms * 2000)).await;
+                        live.hosts.borrow_mut()[host].gone = true;
+                        live.changed();
+                    })
+                    .detach();
+                    rest(pause).await;
+                }
+            }
+            Trouble::Herd { part, back_ms } => {
+                let chosen = self.some(routers, part);
+                for router in &chosen {
+                    let void = self.processes.borrow_mut().kill(*router);
+                    void.into_iter().for_each(|number| self.ledger.borrow_mut().void(number));
+                }
+                rest(Span(back_ms * 1000)).await;
+                for router in chosen {
+                    if self.asking.get() {
+                        let started = routers::start(&self, router);
+                        if let Err(error) = started {
+                            self.ledger.borrow_mut().breaks("start", error);
+                        }
+                        ex.spawn(routers::watch(self.clone(), router)).detach();
+                    }
+                }
+            }
+            Trouble::Slow { part, factor } => {
+                for host in self.some(replicas(&self), part) {
+                    self.hosts.borrow_mut()[host].slow = factor;
+                }
+            }
+            Trouble::Stop { part, for_ms } => {
+                let chosen = self.some(routers, part);
+                for router in &chosen {
+                    let void = self.processes.borrow_mut().stop(*router);
+                    void.into_iter().for_each(|number| self.ledger.borrow_mut().void(number));
+                }
+                rest(Span(for_ms * 1000)).await;
+                chosen.iter().for_each(|router| self.processes.borrow_mut().go_on(*router));
+            }
+            Trouble::Links { routers: part, hosts, way, harm, for_ms } => {
+                let all = (0..self.hosts.borrow().len()).collect();
+                let (routers, hosts) = (self.some(routers, part), self.some(all, hosts));
+                let set = |of: Vec<usize>| of.into_iter().collect::<BTreeSet<_>>();
+                let key = self.links.borrow_mut().harm(set(routers), set(hosts), way, harm);
+                rest(Span(for_ms * 1000)).await;
+                self.links.borrow_mut().heal(key);
+            }
+        }
+    }
+
+    /// Notes by second which replicas are usable, and which router ended by itself.
+    async fn look(self: Rc<Live>) {
+        for second in 0.. {
+            rest((self.start.get() + Span(second * 1_000_000)) - now()).await;
+            let of = |(nth, host): (usize, &Db)| (host.usable() && !host.primary).then_some(nth);
+            let usable: Vec<usize> = self.hosts.borrow().iter().enumerate().filter_map(of).collect();
+            usable.iter().for_each(|host| self.ledger.borrow_mut().usable(second, *host));
+            self.usable.borrow_mut().insert(second, usable);
+            for (router, status) in self.processes.borrow_mut().ended() {
+                self.ledger
+                    .borrow_mut()
+                    .breaks("crash", format!("router {router} ended by itself: {status}"));
+            }
+        }
+    }
+}
+
+/// Plays a trial with processes of the program at `daemon`.
+///
+/// # Errors
+/// A key of the trial that is out of bounds, a program that does not start within 60 s, no port, no descriptors; and an
+/// interruption by a signal.
+pub fn play(trial: &Trial, daemon: &Path) -> Result<Report, String> {
+    trial.check()?;
+    if trial.routers > ROUTERS {
+        return Err(format!("routers must be at most {ROUTERS} with real processes, not {}", trial.routers));
+    }
+    let ex = Rc::new(LocalExecutor::new());
+    let held = ex.clone();
+    let signals = async_signal::Signals::new([async_signal::Signal::Int, async_signal::Signal::Term]);
+    let mut signals = signals.map_err(|error| format!("signals: {error}"))?;
+    let interrupted = async move {
+        signals.next().await;
+        Err("interrupted".to_string())
+    };
+    let processes = Rc::new(RefCell::new(Processes::new(daemon, trial.routers.into())?));
+    // The tasks hold one another and are never dropped: the processes are ended from here, whatever happens.
+    let _ends = Ends(processes.clone());
+    future::block_on(ex.run(future::or(interrupted, run(trial, processes, held))))
+}
+
+struct Ends(Rc<RefCell<Processes>>);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        if let Ok(mut processes) = self.0.try_borrow_mut() {
+            processes.end();
+        }
+    }
+}
+
+async fn run(
+    trial: &Trial, processes: Rc<RefCell<Processes>>, ex: Rc<LocalExecutor<'static>>,
+) -> Result<Report, String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(trial.seed);
+    let shares = trial.rates(&mut rng, 1.0)?;
+    let target = Span(trial.target_ms * 1000);
+    let live = Rc::new(Live {
+        trial: trial.clone(),
+        start: Cell::new(now()),
+        ledger: RefCell::new(Ledger::new(target, Time(0)).with_slack(SLACK)),
+        hosts: RefCell::default(),
+        links: RefCell::default(),
+        rng: RefCell::new(rng),
+        waiting: RefCell::default(),
+        jobs: Cell::new(0),
+        ports: RefCell::default(),
+        list: Cell::new(1),
+        told: RefCell::default(),
+        processes,
+        usable: RefCell::default(),
+        numbers: Cell::new(0),
+        asking: Cell::new(true),
+    });
+    for group in 0..trial.groups {
+        for nth in 0..=trial.replicas {
+            databases::start(&live, &ex, group, nth == 0)?;
+        }
+    }
+    let discovery = list::start(&live, &ex)?;
+    live.processes.borrow_mut().discovery = discovery;
+    for router in 0..usize::from(trial.routers) {
+        routers::start(&live, router)?;
+        ex.spawn(routers::watch(live.clone(), router)).detach();
+    }
+    let begun = now();
+    while live.processes.borrow().up().len() < usize::from(trial.routers) {
+        if now() - begun > Span(60_000_000) {
+            return Err("not every router was ready within 60 s".into());
+        }
+        rest(Span(20_000)).await;
+    }
+    let start = now();
+    live.start.set(start);
+    live.ledger.borrow_mut().begins(start);
+    if trial.all_cold {
+        live.hosts.borrow_mut().iter_mut().for_each(|host| host.started = Some(start));
+        live.changed();
+    }
+    ex.spawn(live.clone().look()).detach();
+    let cores: f64 = live.hosts.borrow().iter().filter(|h| !h.primary).map(|h| f64::from(h.cores)).sum();
+    for (router, share) in shares.into_iter().enumerate() {
+        ex.spawn(clients::arrive(live.clone(), ex.clone(), router, share * cores)).detach();
+    }
+    for fault in trial.faults.clone() {
+        let (live, own) = (live.clone(), ex.clone());
+        ex.spawn(async move {
+            rest(Span(fault.at_ms * 1000)).await;
+            live.fault(own, fault.trouble).await;
+        })
+        .detach();
+    }
+    rest(Span(trial.seconds * 1_000_000)).await;
+    live.asking.set(false);
+    let end = now();
+    // What was asked last has its time, and its repeats.
+    rest(Span(trial.timeout_ms * 1000) + SLACK).await;
+    live.processes.borrow_mut().end();
+    let usable = live.usable.take();
+    let throughout = |second: u64, host: usize| {
+        let at = |second: &u64| usable.get(second).is_some_and(|hosts| hosts.contains(&host));
+        second < trial.seconds && at(&second) && at(&(second + 1))
+    };
+    let ledger = live.ledger.replace(Ledger::new(target, Time(0)));
+    Ok(ledger.close(end - SLACK, &throughout))
+}
--- a/crates/comethitch-lab/src/trial.rs
+++ b/crates/comethitch-lab/src/trial.rs
@@ -1,8 +1,14 @@
 //! What is tried: a fleet, its load and its faults, from a JSON file.
 
+use crate::hosts::Cold;
 use comethitch::Deployment;
+use comethitch::time::Span;
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
 
 /// Who decides where commands go.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -26,6 +32,31 @@
     Herd { part: f64, back_ms: u64 },
     /// So large a part of the hosts becomes slower by this factor.
     Slow { part: f64, factor: f64 },
+    /// So large a part of the routers stands still (SIGSTOP) for so long. Real processes alone.
+    Stop { part: f64, for_ms: u64 },
+    /// For so long, something is wrong with the links between parts of the routers and of the hosts. Routers cut off
+    /// both ways hear of changes of the list only afterwards. Real processes alone.
+    Links { routers: f64, hosts: f64, way: Way, harm: Harm, for_ms: u64 },
+}
+
+/// Which direction of a link is harmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Way {
+    Both,
+    ToHosts,
+    ToRouters,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Harm {
+    /// Nothing passes, and nobody is told.
+    Cut,
+    /// Each message comes so much later.
+    DelayMs(u64),
+    /// This part of the messages ends in a broken connection.
+    Reset(f64),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -77,6 +108,8 @@
     /// Whether all hosts have just started as the trial begins.
     pub all_cold: bool,
     pub faults: Vec<Fault>,
+    /// Keys of the routers' settings that are other than the trial's own: with a defence out, say. Real processes alone.
+    pub settings: BTreeMap<String, Value>,
 }
 
 impl Default for Trial {
@@ -107,6 +140,7 @@
             queue_per_core: 20,
             all_cold: false,
             faults: Vec::new(),
+            settings: BTreeMap::new(),
         }
     }
 }
@@ -154,13 +188,42 @@
             return Err("cores must name at least one number of cores, none of them 0".into());
         }
         for (nth, fault) in self.faults.iter().enumerate() {
-            let (Trouble::Release { part, .. } | Trouble::Herd { part, .. } | Trouble::Slow { part, .. }) =
-                fault.trouble;
-            within(&format!("faults[{nth}].part"), part, 0.0, 1.0)?;
+            match fault.trouble {
+                Trouble::Release { part, .. }
+                | Trouble::Herd { part, .. }
+                | Trouble::Slow { part, .. }
+                | Trouble::Stop { part, .. } => within(&format!("faults[{nth}].part"), part, 0.0, 1.0)?,
+                Trouble::Links { routers, hosts, harm, .. } => {
+                    within(&format!("faults[{nth}].routers"), routers, 0.0, 1.0)?;
+                    within(&format!("faults[{nth}].hosts"), hosts, 0.0, 1.0)?;
+                    if let Harm::Reset(part) = harm {
+                        within(&format!("faults[{nth}].harm.reset"), part, 0.0, 1.0)?;
+                    }
+                }
+            }
         }
         Ok(())
     }
 
+    /// What is told of hosts that have just started.
+    pub fn cold(&self) -> Cold {
+        Cold {
+            from: self.cold_from,
+            within: Span(self.warm_within_ms * 1000),
+            multiple: self.fall_multiple,
+            span: Span(self.fall_ms * 1000),
+        }
+    }
+
+    /// Commands a second of each router's own clients: unequal, and together the load that the trial names.
+    pub fn rates(&self, rng: &mut ChaCha8Rng, cores: f64) -> Result<Vec<f64>, String> {
+        let unequal = LogNormal::new(0.0, self.skew).map_err(|_| "skew is unusable")?;
+        let shares: Vec<f64> = (0..self.routers).map(|_| unequal.sample(rng)).collect();
+        let all = self.load * cores / (self.work_ms / 1e3) / (1.0 - self.writes).max(0.01);
+        let sum: f64 = shares.iter().sum();
+        Ok(shares.into_iter().map(|share| all * share / sum).collect())
+    }
+
     /// What each router is told at its start.
     pub fn deployment(&self) -> Result<Deployment, String> {
         let Trial { routers, target_ms, timeout_ms, bound_ms, .. } = self;
