The lab's check of drains moves into its ledger, and a planted break makes it fail

It stood in the fleet and no planted fault had made it fail. Now the ledger keeps who was told of which drain and when, for simulated and real fleets alike; a dispatch one microsecond past the grace is found, one at its end is not.

--- a/crates/comethitch-lab/src/fleet.rs
+++ b/crates/comethitch-lab/src/fleet.rs
@@ -155,8 +155,6 @@
     open: BTreeMap<CommandId, Open>,
     /// By host: connections in use, and opened so far.
     lines: BTreeMap<usize, (u32, u32)>,
-    /// When it was told that a host drains.
-    told: BTreeMap<usize, Time>,
 }
 
 struct Fleet<'a> {
@@ -225,7 +223,7 @@
             seats: Vec::new(),
             hosts: Vec::new(),
             by_host: BTreeMap::new(),
-            ledger: Ledger::new(Span(trial.target_ms * 1000), START),
+            ledger: Ledger::new(Span(trial.target_ms * 1000), Span(trial.drain_grace_ms * 1000), START),
             usable: BTreeMap::new(),
             numbers: 0,
         };
@@ -244,7 +242,6 @@
                 last: 0,
                 open: BTreeMap::new(),
                 lines: BTreeMap::new(),
-                told: BTreeMap::new(),
             });
         }
         for router in 0..fleet.seats.len() {
@@ -288,9 +285,8 @@
 
     fn tell_list(&mut self, router: usize) {
         let now = self.now;
-        let told = &mut self.seats[router].told;
         let hosts = self.hosts.iter().enumerate();
-        hosts.filter(|(_, h)| h.draining.is_some()).for_each(|(nth, _)| _ = told.entry(nth).or_insert(now));
+        hosts.filter(|(_, h)| h.draining.is_some()).for_each(|(nth, _)| self.ledger.drains(router, nth, now));
         let listed: Vec<_> = self
             .hosts
             .iter()
@@ -646,11 +642,7 @@
         let nth = open.sent.len() as u16;
         open.sent.push((host, work, now, true));
         let (number, write) = (open.number, open.write);
-        let told = seat.told.get(&host).copied();
-        if told.is_some_and(|told| now - told > Span(self.trial.drain_grace_ms * 1000)) {
-            self.ledger.breaks("drains", format!("command {number} was sent to host {host}, which drains"));
-        }
-        self.ledger.sent(number, now);
+        self.ledger.sent_to(number, router, host, now);
         self.soon(Event::Reach { host, router, epoch, command, nth, work, write });
         self.at(now + time_out, Event::TimeOut { router, epoch, command, nth });
     }
--- a/crates/comethitch-lab/src/ledger.rs
+++ b/crates/comethitch-lab/src/ledger.rs
@@ -35,6 +35,10 @@
     target: Span,
     /// By how much what is seen from outside may differ from what the router saw.
     slack: Span,
+    /// How long a router may still send to a host after it was told that the host drains.
+    grace: Span,
+    /// By router and host: when it was told so.
+    told: BTreeMap<(usize, usize), Time>,
     start: Time,
     commands: BTreeMap<u64, Record>,
     broken: Vec<String>,
@@ -52,10 +56,12 @@
 }
 
 impl Ledger {
-    pub fn new(target: Span, start: Time) -> Ledger {
+    pub fn new(target: Span, grace: Span, start: Time) -> Ledger {
         Ledger {
             target,
             slack: Span(0),
+            grace,
+            told: BTreeMap::new(),
             start,
             commands: BTreeMap::new(),
             broken: Vec::new(),
@@ -95,7 +101,7 @@
         self.commands.insert(command, record);
     }
 
-    pub fn sent(&mut self, command: u64, at: Time) {
+    fn sent(&mut self, command: u64, at: Time) {
         let Some(record) = self.commands.get(&command) else { return };
         let answered = record.answer.is_some_and(|(told, _)| at > told + self.slack || self.slack == Span(0));
         let again = record.write && record.ran > 0;
@@ -107,6 +113,23 @@
         }
     }
 
+    /// A router is told that a host drains; again, if it was before.
+    pub fn drains(&mut self, router: usize, host: usize, at: Time) {
+        self.told.entry((router, host)).or_insert(at);
+    }
+
+    /// A router sent a command to a host.
+    pub fn sent_to(&mut self, command: u64, router: usize, host: usize, at: Time) {
+        let told = self.told.get(&(router, host));
+        if told.is_some_and(|told| at > *told + self.grace + self.slack) {
+            let what = format!(
+                "command {command} was sent at {at:?} to host {host}, which router {router} knew drains"
+            );
+            self.breaks("drains", what);
+        }
+        self.sent(command, at);
+    }
+
     /// A dispatch came to a host that will run it.
     pub fn may_run(&mut self, command: u64) {
         let Some(record) = self.commands.get_mut(&command) else { return };
@@ -332,7 +355,7 @@
     use super::*;
 
     fn after(plant: impl Fn(&mut Ledger)) -> Vec<String> {
-        let mut ledger = Ledger::new(Span(100), Time(0));
+        let mut ledger = Ledger::new(Span(100), Span(40), Time(0));
         ledger.taken(1, (1, Time(0)), true, Time(1000));
         ledger.sent(1, Time(10));
         ledger.may_run(1);
@@ -360,6 +383,14 @@
         );
         found(&|l| l.sent(1, Time(60)), "sent again");
         found(&|l| l.may_run(1), "ran twice");
+        let drained = |l: &mut Ledger, at| {
+            l.drains(3, 7, Time(10));
+            l.drains(3, 7, Time(45));
+            l.sent_to(2, 3, 7, Time(at));
+            answer(l, 90);
+        };
+        found(&|l| drained(l, 51), "which router 3 knew drains");
+        assert_eq!(after(|l| drained(l, 50)), Vec::<String>::new(), "within the grace it may");
         found(&|l| l.answered(1, Time(50), Answer::Throttled), "was throttled");
         let unsent = after(|l| {
             l.never_ran(1);
--- a/crates/comethitch-lab/src/live/databases.rs
+++ b/crates/comethitch-lab/src/live/databases.rs
@@ -145,14 +145,7 @@
 ) -> Option<Vec<u8>> {
     let Some(number) = number(text) else { return Some(error("08P01")) };
     let write = text.contains("INSERT");
-    live.ledger.borrow_mut().sent(number, came);
-    let told = live.told.borrow().get(&(router, host)).copied();
-    let grace = Span(live.trial.drain_grace_ms * 1000) + super::SLACK;
-    if told.is_some_and(|told| came - told > grace) {
-        let what =
-            format!("command {number:x} was sent to host {host} by router {router}, which knew it drains");
-        live.ledger.borrow_mut().breaks("drains", what);
-    }
+    live.ledger.borrow_mut().sent_to(number, router, host, came);
     let second = live.second();
     if !write {
         let cores = f64::from(live.hosts.borrow()[host].cores);
--- a/crates/comethitch-lab/src/live/list.rs
+++ b/crates/comethitch-lab/src/live/list.rs
@@ -34,9 +34,9 @@
 /// Notes that a router is being told which hosts drain.
 fn tells(live: &Live, router: usize) {
     let hosts = live.hosts.borrow();
-    let mut told = live.told.borrow_mut();
+    let mut ledger = live.ledger.borrow_mut();
     let draining = hosts.iter().enumerate().filter(|(_, host)| host.draining.is_some());
-    draining.for_each(|(nth, _)| _ = told.entry((router, nth)).or_insert(now()));
+    draining.for_each(|(nth, _)| ledger.drains(router, nth, now()));
 }
 
 /// Serves the list; the port is the same on each router's own address.
--- a/crates/comethitch-lab/src/live/mod.rs
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -55,8 +55,6 @@
     ports: RefCell<Vec<u16>>,
     /// Changes of the list so far.
     list: Cell<u64>,
-    /// When a router was told that a host drains.
-    told: RefCell<BTreeMap<(usize, usize), Time>>,
     processes: Rc<RefCell<Processes>>,
     usable: RefCell<BTreeMap<u64, Vec<usize>>>,
     numbers: Cell<u64>,
@@ -295,11 +293,11 @@
 ) -> Result<Report, String> {
     let mut rng = ChaCha8Rng::seed_from_u64(trial.seed);
     let shares = trial.rates(&mut rng, 1.0)?;
-    let target = Span(trial.target_ms * 1000);
+    let (target, grace) = (Span(trial.target_ms * 1000), Span(trial.drain_grace_ms * 1000));
     let live = Rc::new(Live {
         trial: trial.clone(),
         start: Cell::new(now()),
-        ledger: RefCell::new(Ledger::new(target, Time(0)).with_slack(SLACK)),
+        ledger: RefCell::new(Ledger::new(target, grace, Time(0)).with_slack(SLACK)),
         hosts: RefCell::default(),
         links: RefCell::default(),
         fate: RefCell::new(ChaCha8Rng::seed_from_u64(trial.seed ^ FAULTS)),
@@ -308,7 +306,6 @@
         jobs: Cell::new(0),
         ports: RefCell::default(),
         list: Cell::new(1),
-        told: RefCell::default(),
         processes,
         usable: RefCell::default(),
         numbers: Cell::new(0),
@@ -363,6 +360,6 @@
         let at = |second: &u64| usable.get(second).is_some_and(|hosts| hosts.contains(&host));
         second < trial.seconds && at(&second) && at(&(second + 1))
     };
-    let ledger = live.ledger.replace(Ledger::new(target, Time(0)));
+    let ledger = live.ledger.replace(Ledger::new(target, grace, Time(0)));
     Ok(ledger.close(end - SLACK, &throughout))
 }
