--- a/crates/comethitch-lab/src/fleet.rs
+++ b/crates/comethitch-lab/src/fleet.rs
@@ -86,6 +86,7 @@
     Replace(usize),
     Gone(usize),
     Restart(usize),
+    Lead(u16),
     Second(u64),
 }
 
@@ -407,6 +408,13 @@
                 self.list_all();
             }
             Event::Restart(router) => self.start(router),
+            Event::Lead(group) => {
+                let heir = self.hosts.iter_mut().find(|h| h.group == group && !h.primary && h.usable());
+                if let Some(heir) = heir {
+                    heir.primary = true;
+                }
+                self.list_all();
+            }
             Event::Second(second) => {
                 let of = |(nth, host): (usize, &Db)| (host.usable() && !host.primary).then_some(nth);
                 let now: Vec<usize> = self.hosts.iter().enumerate().filter_map(of).collect();
@@ -450,6 +458,17 @@
                     }
                 }
             }
+            Trouble::Takeover { part, after_ms } => {
+                for group in 0..self.trial.groups {
+                    if self.rng.random_bool(part) {
+                        let lead = self.hosts.iter_mut().find(|h| h.group == group && h.primary && !h.gone);
+                        if let Some(lead) = lead {
+                            lead.gone = true;
+                        }
+                        self.at(self.now + Span(after_ms * 1000), Event::Lead(group));
+                    }
+                }
+            }
             // Refused before the trial began.
             Trouble::Stop { .. } | Trouble::Links { .. } => {}
         }
--- a/crates/comethitch-lab/src/live/databases.rs
+++ b/crates/comethitch-lab/src/live/databases.rs
@@ -53,8 +53,10 @@
             let Some(router) = whose(&stream) else { continue };
             let (live, more) = (live.clone(), own.clone());
             own.spawn(async move {
+                *live.held.borrow_mut().entry(nth).or_default() += 1;
                 // A connection that ends is the router's doing, or was asked for.
                 let _ = serve(&live, &more, nth, router, stream).await;
+                *live.held.borrow_mut().entry(nth).or_default() -= 1;
             })
             .detach();
         }
@@ -80,6 +82,9 @@
     if !live.pass(router, host, Heading::ToHost).await {
         return Ok(());
     }
+    if live.trial.slots > 0 && live.held.borrow()[&host] > live.trial.slots {
+        return stream.write_all(&error("53300")).await;
+    }
     let hello = [message(b'R', &[0; 4]), message(b'Z', b"I")].concat();
     if !live.pass(router, host, Heading::ToRouter).await {
         return Ok(());
--- a/crates/comethitch-lab/src/live/mod.rs
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -51,6 +51,8 @@
     /// Whom to tell that a job is done: by host and job.
     waiting: RefCell<BTreeMap<(usize, u32), async_channel::Sender<()>>>,
     jobs: Cell<u32>,
+    /// Connections that each host holds.
+    held: RefCell<BTreeMap<usize, u32>>,
     /// The port of each host, the same for all routers.
     ports: RefCell<Vec<u16>>,
     /// Changes of the list so far.
@@ -217,6 +219,25 @@
                     self.hosts.borrow_mut()[host].slow = factor;
                 }
             }
+            Trouble::Takeover { part, after_ms } => {
+                let groups = self.some((0..usize::from(self.trial.groups)).collect(), part);
+                let of = |group: usize| move |h: &&mut Db| usize::from(h.group) == group && !h.gone;
+                for group in &groups {
+                    let mut hosts = self.hosts.borrow_mut();
+                    if let Some(lead) = hosts.iter_mut().filter(of(*group)).find(|h| h.primary) {
+                        lead.gone = true;
+                    }
+                }
+                rest(Span(after_ms * 1000)).await;
+                for group in groups {
+                    let mut hosts = self.hosts.borrow_mut();
+                    if let Some(heir) = hosts.iter_mut().filter(of(group)).find(|h| !h.primary && h.usable())
+                    {
+                        heir.primary = true;
+                    }
+                }
+                self.changed();
+            }
             Trouble::Stop { part, for_ms } => {
                 let chosen = self.some(routers, part);
                 for router in &chosen {
@@ -304,6 +325,7 @@
         rng: RefCell::new(rng),
         waiting: RefCell::default(),
         jobs: Cell::new(0),
+        held: RefCell::default(),
         ports: RefCell::default(),
         list: Cell::new(1),
         processes,
--- a/crates/comethitch-lab/src/live/routers.rs
+++ b/crates/comethitch-lab/src/live/routers.rs
@@ -125,10 +125,12 @@
     let mut all: Value = serde_json::from_str(SAMPLE).expect("the sample is JSON");
     let processes = live.processes.borrow();
     let ms = |ms: u64| Value::from(ms * 1000);
-    all["name"] = format!("r{router}").into();
+    let namesake = router < usize::from(trial.namesakes);
+    all["name"] = if namesake { "r0".into() } else { format!("r{router}").into() };
     all["listen"] = processes.address(router).to_string().into();
     all["discovery"] = format!("{}:{}", address(router, TO_DISCOVERY), processes.discovery).into();
-    all["seed"] = format!("{:016x}", live.rng.borrow_mut().next_u64()).into();
+    let seed = if namesake { trial.seed } else { live.rng.borrow_mut().next_u64() };
+    all["seed"] = format!("{seed:016x}").into();
     all["limits"] = json!({"cores": 1.0, "memory_mb": 64, "sockets": 1024});
     all["known"] = list::whole(live, router);
     let settings = &mut all["settings"];
--- a/crates/comethitch-lab/src/trial.rs
+++ b/crates/comethitch-lab/src/trial.rs
@@ -32,6 +32,8 @@
     Herd { part: f64, back_ms: u64 },
     /// So large a part of the hosts becomes slower by this factor.
     Slow { part: f64, factor: f64 },
+    /// The primaries of so large a part of the groups die at once; so long after, a replica of each leads in its place.
+    Takeover { part: f64, after_ms: u64 },
     /// So large a part of the routers stands still (SIGSTOP) for so long. Real processes alone.
     Stop { part: f64, for_ms: u64 },
     /// For so long, something is wrong with the links between parts of the routers and of the hosts. Routers cut off
@@ -105,6 +107,10 @@
     pub drain_grace_ms: u64,
     /// How many commands may wait at a host for each of its cores.
     pub queue_per_core: u16,
+    /// How many connections a host holds, 0 for any number; more are turned away. Real processes alone.
+    pub slots: u32,
+    /// So many routers have one name, and one seed for what they draw. Real processes alone.
+    pub namesakes: u16,
     /// Whether all hosts have just started as the trial begins.
     pub all_cold: bool,
     pub faults: Vec<Fault>,
@@ -138,6 +144,8 @@
             fall_ms: 1500,
             drain_grace_ms: 2000,
             queue_per_core: 20,
+            slots: 0,
+            namesakes: 0,
             all_cold: false,
             faults: Vec::new(),
             settings: BTreeMap::new(),
@@ -192,6 +200,7 @@
                 Trouble::Release { part, .. }
                 | Trouble::Herd { part, .. }
                 | Trouble::Slow { part, .. }
+                | Trouble::Takeover { part, .. }
                 | Trouble::Stop { part, .. } => within(&format!("faults[{nth}].part"), part, 0.0, 1.0)?,
                 Trouble::Links { routers, hosts, harm, .. } => {
                     within(&format!("faults[{nth}].routers"), routers, 0.0, 1.0)?;
