A host whose connections are all taken is left alone, and idle ones are given back

A print at the refusals showed 30 knocks of one router at one primary in 9 s and 3.4 at each replica: a refused connection was a full host like any other, tried again with the next command, and probes swept on. Now what a router has out at a host as it is turned away is all it may have there; after 1 s, twice as long each time, one command knocks. While places are short idle connections go back after a sixteenth of the usual time.

--- a/crates/comethitch-fleet/src/lib.rs
+++ b/crates/comethitch-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod proof;
 pub mod room;
 pub mod share;
+pub mod slots;
 
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
--- /dev/null
+++ b/crates/comethitch-fleet/src/slots.rs
@@ -0,0 +1,140 @@
+//! A host whose connections are all taken.
+//!
+//! A host holds a limited number of connections. One that has no place left turns a newcomer away as it knocks, and a
+//! router that knocks again for each command costs it work and gets nothing. So what a router has there at once becomes
+//! all that it may have there, and after a while, twice as long each time, it knocks once for one more. Routers turned
+//! away together come back apart: each draws its own part of the wait.
+
+use crate::drawn;
+use comethitch_time::{Span, Time};
+
+/// The first wait, doubled at most so often: connections that others hold idle come free within tens of seconds.
+const FIRST: Span = Span(1_000_000);
+const DOUBLED: u32 = 4;
+/// The part of the usual time for which an idle connection is kept while places are short.
+const SHORT: u64 = 16;
+
+/// What a router knows of the places at one host.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Slots {
+    /// Commands out there: each has a connection.
+    out: u32,
+    /// How many it may have out at once, since it was turned away with so many; no limit before.
+    most: Option<u32>,
+    /// How often it was turned away since it last got one more.
+    turned: u32,
+    until: Time,
+}
+
+impl Slots {
+    /// A command goes there.
+    pub fn sent(&mut self) {
+        self.out += 1;
+    }
+
+    /// One came back, answered or not.
+    pub fn ended(&mut self, answered: bool) {
+        if answered && self.most.is_some_and(|most| self.out > most) {
+            // There was a place for one more.
+            (self.most, self.turned, self.until) = (None, 0, Time(0));
+        }
+        self.out = self.out.saturating_sub(1);
+    }
+
+    /// Turned away, after the end of the command that knocked. `salt` is the router's, `key` the host's.
+    ///
+    /// ```
+    /// use comethitch_fleet::slots::Slots;
+    /// use comethitch_time::{Span, Time};
+    /// let (mut slots, now) = (Slots::default(), Time(1_000_000));
+    /// slots.sent();
+    /// assert!(slots.open(now), "nobody has said anything yet");
+    /// slots.sent();
+    /// slots.ended(false);
+    /// slots.turned_away(1, 2, now);
+    /// assert!(!slots.open(now), "one is out there, and there is no place for two");
+    /// slots.ended(true);
+    /// assert!(slots.open(now), "the one is back, and its connection is kept");
+    /// ```
+    pub fn turned_away(&mut self, salt: u64, key: u64, now: Time) {
+        self.most = Some(self.out);
+        // Several knocked at once: one refusal, not several.
+        if now >= self.until {
+            let longest = FIRST * (1 << self.turned.min(DOUBLED));
+            self.turned += 1;
+            self.until = now + longest.scaled(0.5 + drawn([salt, key, self.turned.into()]) / 2.0);
+        }
+    }
+
+    /// Whether one more may go there: on a connection that is held, or to knock, one at a time.
+    pub fn open(&self, now: Time) -> bool {
+        self.most.is_none_or(|most| self.out < most || self.out == most && now >= self.until)
+    }
+}
+
+/// How long a router keeps an idle connection that hosts would let it keep for `longest`. For so long after one of them
+/// turned it away, places are short, and what it does not use it gives back: others wait for it as it does.
+///
+/// ```
+/// use comethitch_fleet::slots::kept;
+/// use comethitch_time::{Span, Time};
+/// let longest = Span(16_000_000);
+/// assert_eq!(kept(longest, None, Time(0)), longest);
+/// assert_eq!(kept(longest, Some(Time(1)), Time(2)), Span(1_000_000));
+/// assert_eq!(kept(longest, Some(Time(1)), Time(16_000_002)), longest);
+/// ```
+pub fn kept(longest: Span, turned_away: Option<Time>, now: Time) -> Span {
+    match turned_away {
+        Some(at) if now - at <= longest => longest / SHORT,
+        _ => longest,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Sends whenever it may, every 10 ms over a minute, to a host that never has a place: when it knocked.
+    fn knocks(salt: u64) -> Vec<Time> {
+        let mut slots = Slots::default();
+        let at = (0..6_000).map(|nth| Time(nth * 10_000)).filter(|now| {
+            let open = slots.open(*now);
+            if open {
+                slots.sent();
+                slots.ended(false);
+                slots.turned_away(salt, 9, *now);
+            }
+            open
+        });
+        at.collect()
+    }
+
+    #[test]
+    fn a_host_without_places_is_not_hammered_nor_forgotten() {
+        for salt in 0..50 {
+            let at = knocks(salt);
+            assert!((6..=10).contains(&at.len()), "{} knocks in a minute", at.len());
+            assert!(at.windows(2).all(|two| two[1] - two[0] <= Span(16_010_000)));
+        }
+    }
+
+    #[test]
+    fn routers_turned_away_together_do_not_come_back_together() {
+        let fourth: Vec<Time> = (0..300).map(|salt| knocks(salt)[3]).collect();
+        let most = fourth.iter().map(|at| fourth.iter().filter(|other| *other == at).count()).max();
+        assert!(most < Some(30), "{most:?} of 300 within 10 ms");
+    }
+
+    #[test]
+    fn after_a_while_one_knocks_and_what_it_finds_counts_for_all() {
+        let (mut slots, now) = (Slots::default(), Time(1_000_000));
+        slots.turned_away(1, 2, now);
+        let later = now + FIRST;
+        assert!(!slots.open(now) && slots.open(later));
+        slots.sent();
+        assert!(!slots.open(later), "one knocks at a time");
+        slots.ended(true);
+        slots.sent();
+        assert!(slots.open(later), "there are places again");
+    }
+}
--- a/crates/comethitch/src/histogram.rs
+++ b/crates/comethitch/src/histogram.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Of a host's answer times, as thousandths of the usual ones: how many times as long it takes. A fast host counts as
+    /// a usual one.
+    pub fn slowness(&self) -> f64 {
+        self.quantile(0.5).map_or(1.0, |pace| (pace.0 as f64 / 1000.0).max(1.0))
+    }
+
     fn middle(&self, bin: usize) -> Span {
         self.lowest.scaled(2f64.powf((bin as f64 - 0.5) / 2.0))
     }
--- a/crates/comethitch/src/lib.rs
+++ b/crates/comethitch/src/lib.rs
@@ -8,6 +8,7 @@
 mod command;
 pub mod commits;
 pub mod histogram;
+mod node;
 pub mod policy;
 
 use std::collections::BTreeMap;
@@ -57,6 +58,8 @@
     Answered,
     Error,
     Full,
+    /// The host has no place for one more connection.
+    NoSlot,
     TimedOut,
     NoConnection,
     Reset,
@@ -68,7 +71,7 @@
 impl Ending {
     /// Whether this ending proves that the command never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Ending::Full | Ending::NoConnection | Ending::Moot | Ending::Miss)
+        matches!(self, Ending::Full | Ending::NoSlot | Ending::NoConnection | Ending::Moot | Ending::Miss)
     }
 }
 
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -10,7 +10,7 @@
 use crate::{
     GivenUp, Ramp, Reach, Role, Shard, Standing, chance::Chance, commits::Commits, histogram::Histogram,
 };
-use crate::{command::Command, command::Dispatch, time::Span, time::Time};
+use crate::{command::Command, command::Dispatch, node::Node, time::Span, time::Time};
 use comethitch_fleet::circle::{self, Candidate, Member};
 use comethitch_fleet::{leak::Leak, proof, room::Room, share};
 use std::collections::BTreeMap;
@@ -74,49 +74,6 @@
     nodes: Vec<usize>,
 }
 
-/// A database host as this router sees it.
-#[derive(Default)]
-pub(crate) struct Node {
-    host: Host,
-    zone: u8,
-    shard: Shard,
-    power: f64,
-    leaving: Option<Time>,
-    started: Option<Time>,
-    role: Option<Role>,
-    /// When it last answered as primary.
-    led: Time,
-    /// All commits up to here are applied there: proven, never going back.
-    position: Time,
-    /// How far behind it seemed when last told, and when that was.
-    lag: Span,
-    lag_told: Time,
-    /// How many commands waited there when last told.
-    queue: f64,
-    room: Room,
-    /// The last answer to a command, and the last sign of life of any kind.
-    heard: Time,
-    alive: Time,
-    /// When it was first asked anything after that: silence counts from there, as nobody need have asked.
-    asked: Time,
-    unheard: u32,
-    mute: bool,
-    /// Failed connections, resets, failed probes and rare errors since its last sign of life.
-    strikes: u32,
-    shunned: Time,
-    probe_sent: Option<Time>,
-    probe_next: Time,
-    prove_next: Time,
-    /// Answer times as thousandths of the usual one of their command group.
-    pace: Histogram,
-    /// Work sent and answered lately: it leaks away over the span in which a cold host is judged.
-    sent: Leak,
-    bore: Leak,
-    spent: share::Spent,
-    /// Told as gone, or missing from a whole list.
-    gone: bool,
-}
-
 /// Where a command can go now.
 enum Way {
     To(usize),
@@ -376,6 +333,7 @@
         node.sent.add(heft, now, self.deployment.ramp.span);
         node.spent.add(heft, self.salt, now, self.deployment.ramp.span);
         node.ask(now);
+        node.slots.sent();
         if node.mute {
             node.shunned = now + TRIED_EVERY;
         }
@@ -481,7 +439,7 @@
         let part = |i: usize| {
             let (node, drawn) = (&self.nodes[i], circle.iter().find(|m| m.at == i).map_or(0.0, |m| m.draw));
             let crowd = (1.0 + node.queue) * (1.0 + node.room.load.over(work));
-            drawn / crowd.powi(2) / node.slowness()
+            drawn / crowd.powi(2) / node.pace.slowness()
         };
         let weights: Vec<f64> = drawn.iter().map(|i| part(*i)).collect();
         let one = self.chance.pick(&weights).map(|nth| drawn[nth]);
@@ -513,7 +471,7 @@
     }
 
     fn usable(&self, i: usize, now: Time) -> bool {
-        self.nodes[i].leaving.is_none() && self.nodes[i].well(now)
+        self.nodes[i].leaving.is_none() && self.nodes[i].well(now) && self.nodes[i].slots.open(now)
     }
 
     /// Whether the rules allow this command one more dispatch, to this host.
@@ -618,15 +576,16 @@
         out.probe(node.host);
     }
 
-    /// Whether a host can take this much more work and answer it in time, and is not pushed over by it.
-    /// `reach` is the share of the routers that use it.
+    /// Whether a host, which `reach` of all routers use, can take this work in time and is not pushed over.
     fn has_room(&self, i: usize, reach: f64, group: usize, now: Time) -> bool {
         let node = &self.nodes[i];
         // Room is reckoned for the shortest target: a long command, with a target to match, finds more of it.
         let target = self.deployment.groups[group].target;
         let stretch = if self.long(group) { target.over(self.target) } else { 1.0 };
         let work = self.work(group);
-        let fits = node.room.holds(work, stretch) && self.groups[&node.shard].rooms[group].holds(work, 1.0);
+        let fits = node.slots.open(now)
+            && node.room.holds(work, stretch)
+            && self.groups[&node.shard].rooms[group].holds(work, 1.0);
         let warmth = self.warmth(i, now);
         if !fits || warmth >= 1.0 {
             return fits;
@@ -665,7 +624,9 @@
         let Some(&i) = self.by_host.get(&host) else { return };
         let node = &mut self.nodes[i];
         let sent = node.probe_sent.take().unwrap_or(now);
-        if matches!(ending, Ending::Answered | Ending::Error | Ending::Full) {
+        if ending == Ending::NoSlot {
+            node.turned_away(self.salt, now);
+        } else if matches!(ending, Ending::Answered | Ending::Error | Ending::Full) {
             node.shows_life(now);
             // It runs but tells nothing: it has just started, is asked by too many, or only its probes fail.
             if told == Standing::default() {
@@ -691,6 +652,7 @@
             self.nodes[i].sent.take_back(heft);
         }
         let node = &mut self.nodes[i];
+        node.slots.ended(ending == Ending::Answered);
         let mut late = None;
         match ending {
             Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
@@ -715,6 +677,7 @@
                 node.strike(now, self.deployment.connect_timeout);
                 node.probe_next = now;
             }
+            Ending::NoSlot => node.turned_away(self.salt, now),
             Ending::Moot => {}
         }
         if ending == Ending::Answered {
@@ -862,7 +825,10 @@
         for i in due {
             let group = self.groups.get_mut(&self.nodes[i].shard).expect("known shard");
             let node = &self.nodes[i];
-            if node.probe_sent.is_some() || node.leaving.is_some() && node.room.load == Span(0) {
+            if node.probe_sent.is_some()
+                || !node.slots.open(now)
+                || node.leaving.is_some() && node.room.load == Span(0)
+            {
                 continue;
             }
             let parting = group.primary.is_none_or(|p| self.nodes[p].leaving.is_some());
@@ -893,9 +859,8 @@
         }
     }
 
-    /// Looks a command over: gives it up when its time has run out, sends a second copy when its dispatch
-    /// is at a host that fails, or that is slow beside the others. Where all are slow a copy would only add
-    /// to the crowd: copies of whatever was late fed overloads that fed on them.
+    /// Gives a command up when its time has run out; sends a second copy when its dispatch is at a host that fails,
+    /// or that is slow beside the others: where all are slow, copies of whatever was late fed the overload.
     fn review(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let now = out.now();
         let Some(command) = self.commands.get(&id).filter(|c| !c.done) else { return };
@@ -926,7 +891,7 @@
             return self.give_up(id, GivenUp::LostPrimary, out);
         }
         let hedged = kind.effect == Effect::Replayable
-            && (node.mute || node.lost() || node.slowness() > SLOW && now - one.sent > kind.target / 2)
+            && (node.mute || node.lost() || node.pace.slowness() > SLOW && now - one.sent > kind.target / 2)
             && self.further_saved > FURTHER_SAVED / 2.0
             && self.lines.iter().all(Vec::is_empty)
             && now < command.taken + kind.target;
@@ -960,17 +925,18 @@
         }
     }
 
+    /// It runs, and has no place for one more connection.
+    fn turned_away(&mut self, salt: u64, now: Time) {
+        self.shows_life(now);
+        self.slots.turned_away(salt, self.host.number(), now);
+    }
+
     fn shows_life(&mut self, now: Time) {
         (self.alive, self.strikes) = (now, 0);
         if !self.mute {
             self.shunned = self.shunned.min(now);
         }
     }
-
-    /// How many times the usual answer time it takes; a fast host counts as a usual one.
-    fn slowness(&self) -> f64 {
-        self.pace.quantile(0.5).map_or(1.0, |pace| (pace.0 as f64 / 1000.0).max(1.0))
-    }
 }
 
 impl Handle {
--- a/crates/comethitch/tests/scenarios.rs
+++ b/crates/comethitch/tests/scenarios.rs
@@ -141,6 +141,7 @@
         "ok" => Ending::Answered,
         "error" => Ending::Error,
         "full" => Ending::Full,
+        "noslot" => Ending::NoSlot,
         "timeout" => Ending::TimedOut,
         "unconnected" => Ending::NoConnection,
         "reset" => Ending::Reset,
--- a/crates/comethitchd/src/memory/connection.rs
+++ b/crates/comethitchd/src/memory/connection.rs
@@ -72,6 +72,8 @@
     Told(Code),
     /// There was no time, descriptor or such host, or no use for it any more once it was up: never sent.
     NotTried,
+    /// The host has no place for one more connection.
+    NoSlot,
     /// It was refused, or broke before it could be used.
     NeverUp,
     /// It broke, or time ran out, before the query's last byte was written.
@@ -95,6 +97,7 @@
             ConnectionEnd::Whole => Ending::Answered,
             ConnectionEnd::Told(code) => code.ending(),
             ConnectionEnd::NotTried => Ending::Moot,
+            ConnectionEnd::NoSlot => Ending::NoSlot,
             ConnectionEnd::NeverUp | ConnectionEnd::Unsent => Ending::NoConnection,
             ConnectionEnd::TooLarge => Ending::Error,
             ConnectionEnd::Broken | ConnectionEnd::Malformed => Ending::Reset,
--- a/crates/comethitchd/src/memory/pool.rs
+++ b/crates/comethitchd/src/memory/pool.rs
@@ -3,18 +3,25 @@
 use crate::memory::connection::HostConnection;
 use comethitch::Host;
 use comethitch::time::{Span, Time};
+use comethitch_fleet::slots;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 pub struct Pool {
     /// Kept no longer than this: the host closes what has been idle for its own limit.
     longest: Span,
+    /// When a host last had no place for one more connection.
+    turned_away: Option<Time>,
     idle: BTreeMap<Host, Vec<HostConnection>>,
 }
 
 impl Pool {
     pub fn new(host_limit: Span) -> Pool {
-        Pool { longest: host_limit / 4 * 3, idle: BTreeMap::new() }
+        Pool { longest: host_limit / 4 * 3, turned_away: None, idle: BTreeMap::new() }
+    }
+
+    pub fn turned_away(&mut self, now: Time) {
+        self.turned_away = Some(now);
     }
 
     /// The one used last, so that the others age out; what is old, moved or broken is closed on the way.
@@ -40,7 +47,7 @@
 
     /// Closes what has been idle too long, and forgets hosts without any.
     pub fn sweep(&mut self, now: Time) {
-        let longest = self.longest;
+        let longest = slots::kept(self.longest, self.turned_away, now);
         self.idle.retain(|_, idle| {
             idle.retain(|connection| now - connection.idle_since < longest);
             !idle.is_empty()
--- a/crates/comethitchd/src/protocols/postgres/send.rs
+++ b/crates/comethitchd/src/protocols/postgres/send.rs
@@ -199,14 +199,11 @@
         let mut greeting = Answer::default();
         let greeted = read(&mut connection, &mut greeting, |_| true, |_| false).await;
         // Of the codes in a greeting, one tells more than that no connection came up.
-        let full = greeting
-            .code
-            .map(|code| ConnectionEnd::Told(Code::Postgres(code)))
-            .filter(|end| end.ending() == Ending::Full);
+        let full = greeting.code.map(|code| ConnectionEnd::Told(Code::Postgres(code)).ending());
         match full {
-            Some(full) => Err(full),
-            None if greeted.is_ok() => Ok(connection),
-            None => Err(ConnectionEnd::NeverUp),
+            Some(Ending::Full) => Err(ConnectionEnd::NoSlot),
+            _ if greeted.is_ok() => Ok(connection),
+            _ => Err(ConnectionEnd::NeverUp),
         }
     };
     open.or(after(limit, Err(ConnectionEnd::NeverUp))).await
--- a/crates/comethitchd/src/protocols/sending.rs
+++ b/crates/comethitchd/src/protocols/sending.rs
@@ -99,7 +99,11 @@
         let fresh = kept.is_none();
         let connection = match kept {
             Some(kept) => kept,
-            None => connect(dial).await?,
+            None => connect(dial).await.inspect_err(|end| {
+                if *end == ConnectionEnd::NoSlot {
+                    hub.pool.borrow_mut().turned_away(hub.clock.now());
+                }
+            })?,
         };
         if fresh && !may_go() {
             hub.pool.borrow_mut().put(host, connection, hub.clock.now());
--- a/crates/comethitchd/src/protocols/tds/send.rs
+++ b/crates/comethitchd/src/protocols/tds/send.rs
@@ -234,7 +234,7 @@
     match answer.error.take() {
         // Of the errors at a login one tells more than that no connection came up.
         Some(code) => match ConnectionEnd::Told(code) {
-            end if end.ending() == Ending::Full => Err(end),
+            end if end.ending() == Ending::Full => Err(ConnectionEnd::NoSlot),
             _ => Err(ConnectionEnd::NeverUp),
         },
         None if ended.is_ok() && answer.acknowledged => {
