A primary that the list names and that last answered as a replica is asked until it leads

The log of one router showed no_primary from the very moment the list named the new primaries, and no `answers as Primary` behind it. At fault: `probe_due`. A newcomer had asked the heir while it was a replica; the list makes it primary, `serves` refuses it for its role, and since proofs are just in time nobody asks a Healthy group's primary to which nothing is sent. Ruled out: the list (told), discovery late (7 s). It now counts as suspect.

--- a/crates/comethitch-lab/src/live/mod.rs
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -275,12 +275,12 @@
     }
 }
 
-/// Plays a trial with processes of the program at `daemon`.
+/// Plays a trial with processes of the program at `daemon`. Their files and logs are kept in `logs`, if it is given.
 ///
 /// # Errors
 /// A key of the trial that is out of bounds, a program that does not start within 60 s, no port, no descriptors; and an
 /// interruption by a signal.
-pub fn play(trial: &Trial, daemon: &Path) -> Result<Report, String> {
+pub fn play(trial: &Trial, daemon: &Path, logs: Option<&Path>) -> Result<Report, String> {
     trial.check()?;
     if trial.routers > ROUTERS {
         return Err(format!("routers must be at most {ROUTERS} with real processes, not {}", trial.routers));
@@ -293,7 +293,7 @@
         signals.next().await;
         Err("interrupted".to_string())
     };
-    let processes = Rc::new(RefCell::new(Processes::new(daemon, trial.routers.into())?));
+    let processes = Rc::new(RefCell::new(Processes::new(daemon, trial.routers.into(), logs)?));
     // The tasks hold one another and are never dropped: the processes are ended from here, whatever happens.
     let _ends = Ends(processes.clone());
     future::block_on(ex.run(future::or(interrupted, run(trial, processes, held))))
--- a/crates/comethitch-lab/src/live/routers.rs
+++ b/crates/comethitch-lab/src/live/routers.rs
@@ -30,21 +30,23 @@
 
 pub(super) struct Fleet {
     daemon: PathBuf,
-    /// Files and logs, removed at the end.
+    /// Files and logs, removed at the end unless they are to be kept.
     folder: PathBuf,
+    kept: bool,
     port: u16,
     pub discovery: u16,
     of: Vec<Process>,
 }
 
 impl Fleet {
-    pub fn new(daemon: &Path, routers: usize) -> Result<Fleet, String> {
+    pub fn new(daemon: &Path, routers: usize, logs: Option<&Path>) -> Result<Fleet, String> {
         let port =
             TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?.port();
-        let folder = std::env::temp_dir().join(format!("comethitch-lab-{}-{port}", std::process::id()));
+        let own = || std::env::temp_dir().join(format!("comethitch-lab-{}-{port}", std::process::id()));
+        let (folder, kept) = (logs.map_or_else(own, Path::to_path_buf), logs.is_some());
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let of = (0..routers).map(|_| Process::default()).collect();
-        Ok(Fleet { daemon: daemon.into(), folder, port, discovery: 0, of })
+        Ok(Fleet { daemon: daemon.into(), folder, kept, port, discovery: 0, of })
     }
 
     pub fn address(&self, router: usize) -> SocketAddr {
@@ -116,7 +118,9 @@
     /// Ends all: however a trial ends, it leaves no process and no file.
     pub fn end(&mut self) {
         (0..self.of.len()).for_each(|router| _ = self.kill(router));
-        let _ = std::fs::remove_dir_all(&self.folder);
+        if !self.kept {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -165,7 +169,9 @@
         .and_then(|()| File::options().create(true).append(true).open(&log));
     let begun = begun.and_then(|log| {
         let mut command = Command::new(&processes.daemon);
-        command.args(["serve", "--log", "warn"]).env("RELAY_CONFIG", &path);
+        command
+            .args(["serve", "--log", if processes.kept { "info" } else { "warn" }])
+            .env("RELAY_CONFIG", &path);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()
     });
     let child = begun.map_err(|error| format!("{}: {error}", processes.daemon.display()))?;
--- a/crates/comethitch-lab/src/main.rs
+++ b/crates/comethitch-lab/src/main.rs
@@ -61,6 +61,9 @@
     /// where to draw it, as SVG
     #[argh(option)]
     chart: Option<PathBuf>,
+    /// a folder in which to keep the routers' files and logs
+    #[argh(option)]
+    logs: Option<PathBuf>,
 }
 
 /// Plays two trials over the same seeds, in simulated time or with real processes, and tells by how much the second
@@ -127,12 +130,12 @@
             broken.iter().for_each(|what| println!("BROKEN {what}"));
             Ok(broken.is_empty())
         }
-        What::Live(LiveRun { file, seed, daemon, seconds, chart }) => {
+        What::Live(LiveRun { file, seed, daemon, seconds, chart, logs }) => {
             let mut trial = read(&file)?;
             trial.seed = seed.unwrap_or(trial.seed);
             let beside = || Ok::<_, std::io::Error>(std::env::current_exe()?.with_file_name("comethitchd"));
             let daemon = daemon.map_or_else(beside, Ok).map_err(|error| error.to_string())?;
-            let report = live::play(&trial, &daemon)?;
+            let report = live::play(&trial, &daemon, logs.as_deref())?;
             println!("routing,seed,routers,{}", Report::HEAD);
             println!("live,{},{},{}", trial.seed, trial.routers, report.row());
             for fault in &trial.faults {
@@ -161,7 +164,7 @@
             let seed = |text: &str| text.trim().parse().map_err(|_| format!("seeds: {text:?} is no number"));
             let seeds = seeds.split(',').map(seed).collect::<Result<Vec<u64>, _>>()?;
             let mut play = |trial: &Trial| match &daemon {
-                Some(daemon) => live::play(trial, daemon),
+                Some(daemon) => live::play(trial, daemon, None),
                 None => fleet::play(trial),
             };
             let rows = compare(&read(&one)?, &read(&other)?, &seeds, &mut play)?;
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -832,7 +832,9 @@
                 continue;
             }
             let parting = group.primary.is_none_or(|p| self.nodes[p].leaving.is_some());
-            let suspect = group.state == State::Unhealthy && group.primary == Some(i);
+            // Named by the list, but last heard as a replica: until it answers as primary nothing else would ask it.
+            let denied = node.role == Some(Role::Replica);
+            let suspect = group.primary == Some(i) && (group.state == State::Unhealthy || denied);
             let hurried = group.state == State::Failover || suspect || parting || node.mute;
             let period = if hurried { PROBE_EVERY / 4 } else { calm };
             // Replicas prove themselves as commands need it, and a primary by its answers: it is asked if
--- a/crates/comethitchd/tests/fleet.rs
+++ b/crates/comethitchd/tests/fleet.rs
@@ -19,7 +19,7 @@
 
 fn played(trial: &Trial) -> Report {
     let _one = ONE.lock().unwrap_or_else(|broken| broken.into_inner());
-    play(trial, Path::new(env!("CARGO_BIN_EXE_comethitchd"))).expect("a trial")
+    play(trial, Path::new(env!("CARGO_BIN_EXE_comethitchd")), None).expect("a trial")
 }
 
 fn kept(trial: &Trial) -> Report {
