--- a/crates/comethitchd/tests/fleet.rs
+++ b/crates/comethitchd/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Twenty processes of the program before a dozen hosts on loopback, through faults that none of them sees whole.
 //!
-//! Each trial is sharp: with its defence taken out by the routers' settings, the same faults break the rule or the
-//! service.
+//! All but the one of stopped routers are played a second time with the defence taken out by the routers' settings, where
+//! the same faults break the rule or the service. The cut's is a blunt one: no probes at all.
 
 use comethitch_lab::ledger::Report;
 use comethitch_lab::live::play;
