The lab counts what no router takes, refuses keys without effect, and bounds every span

Read again: a first try that found no router, or whose connection was refused, was in no count, so that a router refusing connections would have looked well served; it now counts as not answered in time (a test plants one). Simulated trials ignored slots, namesakes and settings; they refuse them by name. Spans and delays of faults had no bound. A replacement that found no port was lost without a word. The host's messages are those of comethitch-standin instead of a second writing of them.

--- a/crates/comethitch-lab/src/fleet.rs
+++ b/crates/comethitch-lab/src/fleet.rs
@@ -185,6 +185,14 @@
     if let Some(nth) = trial.faults.iter().position(real) {
         return Err(format!("faults[{nth}] is played with real processes alone: comethitch-lab live"));
     }
+    let real = [
+        ("slots", trial.slots > 0),
+        ("namesakes", trial.namesakes > 0),
+        ("settings", !trial.settings.is_empty()),
+    ];
+    if let Some((key, _)) = real.iter().find(|(_, set)| *set) {
+        return Err(format!("{key} has an effect with real processes alone: comethitch-lab live"));
+    }
     let mut fleet = Fleet::new(trial)?;
     let end = START + Span(trial.seconds * 1_000_000);
     let mut count = 0;
@@ -339,6 +347,7 @@
                 let write = self.rng.random_bool(self.trial.writes);
                 self.numbers += 1;
                 let origin = (self.numbers, self.now);
+                self.ledger.asked(origin);
                 if let Some(router) = self.front(router) {
                     self.take(router, origin, group, write, 0);
                 }
--- a/crates/comethitch-lab/src/ledger.rs
+++ b/crates/comethitch-lab/src/ledger.rs
@@ -95,8 +95,13 @@
         }
     }
 
-    pub fn taken(&mut self, command: u64, origin: (u64, Time), write: bool, expiry: Time) {
+    /// A client asks for the first time, whether or not a router takes it: what nobody takes is not answered in time.
+    pub fn asked(&mut self, origin: (u64, Time)) {
         self.in_time.entry(origin.0).or_insert((origin.1, false));
+    }
+
+    pub fn taken(&mut self, command: u64, origin: (u64, Time), write: bool, expiry: Time) {
+        self.asked(origin);
         let record = Record { origin, write, expiry, answer: None, ran: 0, void: false };
         self.commands.insert(command, record);
     }
@@ -399,6 +404,10 @@
             answer(l, 90)
         });
         assert_eq!(unsent, Vec::<String>::new(), "what surely did not run may go again");
+        let mut refused = Ledger::new(Span(100), Span(40), Time(0));
+        refused.asked((1, Time(0)));
+        let report = refused.close(Time(5000), &|_, _| true);
+        assert_eq!((report.asked, report.in_time), (1, 0.0), "no router took it, and it counts");
         assert_eq!(after(|l| l.void(1)), Vec::<String>::new(), "a killed router owes nothing");
     }
 }
--- a/crates/comethitch-lab/src/live/clients.rs
+++ b/crates/comethitch-lab/src/live/clients.rs
@@ -1,11 +1,12 @@
 //! Clients: each router has its own, who come at a rate of their own, wait as long as they said, and come again a
 //! little after a throttle.
 
-use super::{Shared, message, now, read, rest, routers};
+use super::{Shared, now, read, rest, routers};
 use crate::ledger::Answer;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use comethitch::time::{Span, Time};
+use comethitch_standin::postgres::message;
 use futures_lite::{AsyncWriteExt, future};
 use rand::RngExt;
 use rand_distr::{Distribution, Exp};
@@ -44,6 +45,7 @@
         let group = live.rng.borrow_mut().random_range(0..live.trial.groups);
         let write = live.rng.borrow_mut().random_bool(live.trial.writes);
         let ask = Ask { origin: (live.number(), now()), group, write };
+        live.ledger.borrow_mut().asked(ask.origin);
         let (live, pool) = (live.clone(), pool.clone());
         ex.spawn(async move {
             for _ in 0..=RETRIES {
--- a/crates/comethitch-lab/src/live/databases.rs
+++ b/crates/comethitch-lab/src/live/databases.rs
@@ -1,12 +1,13 @@
 //! Database hosts on loopback: the simulated hosts behind sockets.
 
-use super::{Live, Shared, TO_HOSTS, message, now, read, rest, router_at};
+use super::{Live, Shared, TO_HOSTS, now, read, router_at};
 use crate::hosts::{Arrived, Box as Db, Job};
 use crate::links::Heading;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use comethitch::time::{Span, Time};
 use comethitch::{Host, Role};
+use comethitch_standin::postgres::{error, message, row};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use rand_distr::{Distribution, Exp};
 use socket2::{Domain, Socket, Type};
@@ -118,16 +119,6 @@
     Ok(())
 }
 
-fn row(value: &[u8]) -> Vec<u8> {
-    let described = message(b'T', &[&[0, 1][..], b"data\0", &[0; 18]].concat());
-    let data = message(b'D', &[&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat());
-    [described, data, message(b'C', b"SELECT 1\0")].concat()
-}
-
-fn error(code: &str) -> Vec<u8> {
-    message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes())
-}
-
 fn vitals(live: &Live, host: usize) -> Vec<u8> {
     let Span(lag) = Span(live.trial.lag_ms * 1000);
     let every = Span(live.trial.report_ms * 1000);
@@ -194,7 +185,5 @@
         live.ledger.borrow_mut().never_ran(number);
     }
     live.waiting.borrow_mut().remove(&(host, job.command));
-    // Behind a cut link the host hears of it later; that is not played: what it runs then is nobody's.
-    rest(Span(0)).await;
     None
 }
--- a/crates/comethitch-lab/src/live/mod.rs
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -90,11 +90,6 @@
 const TO_HOSTS: u8 = 1;
 const TO_DISCOVERY: u8 = 3;
 
-/// A message of PostgreSQL's protocol.
-fn message(kind: u8, body: &[u8]) -> Vec<u8> {
-    [&[kind], &(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
-}
-
 /// The next message: at most 1 MiB.
 async fn read(stream: &mut Async<TcpStream>) -> std::io::Result<(u8, Vec<u8>)> {
     let mut head = [0; 5];
@@ -166,6 +161,11 @@
         .detach();
     }
 
+    /// Nothing is owed for these: their router was killed or stopped.
+    fn void(&self, numbers: BTreeSet<u64>) {
+        numbers.into_iter().for_each(|number| self.ledger.borrow_mut().void(number));
+    }
+
     fn changed(&self) {
         self.list.set(self.list.get() + 1);
     }
@@ -185,8 +185,9 @@
                     ex.spawn(async move {
                         let group = live.hosts.borrow()[host].group;
                         live.hosts.borrow_mut()[host].draining = Some(now());
-                        if let Ok(new) = databases::start(&live, &own, group, false) {
-                            live.hosts.borrow_mut()[new].started = Some(now());
+                        match databases::start(&live, &own, group, false) {
+                            Ok(new) => live.hosts.borrow_mut()[new].started = Some(now()),
+                            Err(error) => live.ledger.borrow_mut().breaks("start", error),
                         }
                         live.changed();
                         rest(Span(live.trial.drain_grace_ms * 2000)).await;
@@ -200,8 +201,8 @@
             Trouble::Herd { part, back_ms } => {
                 let chosen = self.some(routers, part);
                 for router in &chosen {
-                    let void = self.processes.borrow_mut().kill(*router);
-                    void.into_iter().for_each(|number| self.ledger.borrow_mut().void(number));
+                    let in_hand = self.processes.borrow_mut().kill(*router);
+                    self.void(in_hand);
                 }
                 rest(Span(back_ms * 1000)).await;
                 for router in chosen {
@@ -241,8 +242,8 @@
             Trouble::Stop { part, for_ms } => {
                 let chosen = self.some(routers, part);
                 for router in &chosen {
-                    let void = self.processes.borrow_mut().stop(*router);
-                    void.into_iter().for_each(|number| self.ledger.borrow_mut().void(number));
+                    let in_hand = self.processes.borrow_mut().stop(*router);
+                    self.void(in_hand);
                 }
                 rest(Span(for_ms * 1000)).await;
                 chosen.iter().for_each(|router| self.processes.borrow_mut().go_on(*router));
--- a/crates/comethitch-lab/src/live/routers.rs
+++ b/crates/comethitch-lab/src/live/routers.rs
@@ -1,8 +1,9 @@
 //! The routers: processes of the program, each with a file of its own, started, stopped, killed and ended by id.
 
-use super::{Shared, TO_DISCOVERY, address, list, message, read, rest};
+use super::{Shared, TO_DISCOVERY, address, list, read, rest};
 use async_io::Async;
 use comethitch::time::Span;
+use comethitch_standin::postgres::message;
 use futures_lite::AsyncWriteExt;
 use rand::Rng;
 use rustix::process::{Pid, Signal, kill_process};
--- a/crates/comethitch-lab/src/trial.rs
+++ b/crates/comethitch-lab/src/trial.rs
@@ -160,6 +160,8 @@
     /// use comethitch_lab::trial::Trial;
     /// assert_eq!(Trial::read(r#"{"routers": 7}"#).unwrap().routers, 7);
     /// assert!(Trial::read(r#"{"router": 7}"#).unwrap_err().contains("unknown field `router`"));
+    /// let stop = r#"{"faults": [{"at_ms": 1, "trouble": {"stop": {"part": 1, "for_ms": 600001}}}]}"#;
+    /// assert!(Trial::read(stop).unwrap_err().starts_with("faults[0]"));
     /// assert!(Trial::read(r#"{"load": 0}"#).unwrap_err().starts_with("load"));
     /// ```
     pub fn read(text: &str) -> Result<Trial, String> {
@@ -196,6 +198,17 @@
             return Err("cores must name at least one number of cores, none of them 0".into());
         }
         for (nth, fault) in self.faults.iter().enumerate() {
+            // Ten minutes, as long as a trial may be.
+            let lasts = match fault.trouble {
+                Trouble::Release { over_ms: ms, .. }
+                | Trouble::Herd { back_ms: ms, .. }
+                | Trouble::Takeover { after_ms: ms, .. }
+                | Trouble::Stop { for_ms: ms, .. }
+                | Trouble::Links { for_ms: ms, .. } => ms,
+                Trouble::Slow { .. } => 0,
+            };
+            within(&format!("faults[{nth}].at_ms"), fault.at_ms as f64, 0.0, 600_000.0)?;
+            within(&format!("faults[{nth}]: its span in ms"), lasts as f64, 0.0, 600_000.0)?;
             match fault.trouble {
                 Trouble::Release { part, .. }
                 | Trouble::Herd { part, .. }
@@ -205,8 +218,12 @@
                 Trouble::Links { routers, hosts, harm, .. } => {
                     within(&format!("faults[{nth}].routers"), routers, 0.0, 1.0)?;
                     within(&format!("faults[{nth}].hosts"), hosts, 0.0, 1.0)?;
-                    if let Harm::Reset(part) = harm {
-                        within(&format!("faults[{nth}].harm.reset"), part, 0.0, 1.0)?;
+                    match harm {
+                        Harm::Reset(part) => within(&format!("faults[{nth}].harm.reset"), part, 0.0, 1.0)?,
+                        Harm::DelayMs(ms) => {
+                            within(&format!("faults[{nth}].harm.delay_ms"), ms as f64, 0.0, 60_000.0)?;
+                        }
+                        Harm::Cut => {}
                     }
                 }
             }
--- a/crates/comethitch-standin/src/postgres.rs
+++ b/crates/comethitch-standin/src/postgres.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+/// A message of the protocol.
 pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
     [&[kind], &(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
 }
@@ -19,13 +20,15 @@
     Ok((head[0], body))
 }
 
-fn row(value: &[u8]) -> Vec<u8> {
+/// A whole answer of one value, short of the word that the host is ready.
+pub fn row(value: &[u8]) -> Vec<u8> {
     let described = message(b'T', &[&[0, 1][..], b"data\0", &[0; 18]].concat());
     let data = message(b'D', &[&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat());
     [described, data, message(b'C', b"SELECT 1\0")].concat()
 }
 
-fn error(code: &str) -> Vec<u8> {
+/// An error of this code.
+pub fn error(code: &str) -> Vec<u8> {
     message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes())
 }
 
