A host's first room is the longest target's work over all routers, not 32 targets

A host that comes into circles gets 40 to 60 commands a second from some 20 routers, each of which sees three, where it answers 12 to 15 a second; 60 to 96 are then in hand there, the first late answer comes after 2 s, and for eight seconds nearly all it answers is late or called off (0, 1 and 6 in time of 50 in four seconds, hosts of group 2). Cold hosts meanwhile answered in 660 ms where warm ones took 2,400. In line commands waited 147 ms and were given up, half of them by the group's room, which those out at crowded hosts held.

At fault: `list_ends` in policy.rs, `(self.target * 32)` over the routers that use a host. Before any answer that was 9 s of work for each router, so that no router had a reason to hold back.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -188,9 +188,11 @@
         let told = Some(out.now()).filter(|_| !self.deployment.gone_is_advice);
         self.nodes.iter_mut().filter(|node| node.gone).for_each(|node| node.leaving = node.leaving.or(told));
         self.forget_gone(out.now());
-        // Until something was heard from a host, the room there is its part among the routers that use it.
+        // Until something was heard from a host, all routers together put no more there than the longest target's
+        // work: one that comes into many circles at once is else filled for seconds before the first is late.
+        let longest = self.deployment.groups.iter().map(|g| g.target).max().unwrap_or(self.target);
         for i in (0..self.nodes.len()).filter(|i| self.nodes[*i].heard == Time(0)).collect::<Vec<_>>() {
-            self.nodes[i].room.limit = (self.target * 32).scaled(1.0 / self.sharers(i, out.now()));
+            self.nodes[i].room.limit = longest.scaled(1.0 / self.sharers(i, out.now()));
         }
         self.probe_due(out);
         self.serve_lines(out);
