--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -868,7 +868,8 @@
     }
 
     /// Gives a command up when its time has run out; sends a second copy when its dispatch is at a host that
-    /// fails, or that is slow beside the others: where all are slow, copies of whatever was late fed the overload.
+    /// fails, or that is slow beside the others: where all are slow, copies of whatever was late fed the
+    /// overload.
     fn review(&mut self, id: CommandId, out: &mut dyn Outlet) {
         let now = out.now();
         let Some(command) = self.commands.get(&id).filter(|c| !c.done) else { return };
