--- a/crates/comethitch-fleet/src/slots.rs
+++ b/crates/comethitch-fleet/src/slots.rs
@@ -8,8 +8,9 @@
 use crate::drawn;
 use comethitch_time::{Span, Time};
 
-/// The first wait, doubled at most so often: connections that others hold idle come free within tens of seconds.
-const FIRST: Span = Span(1_000_000);
+/// The first wait is so many times what a connection may take to come up, and is doubled at most so often: connections
+/// that others hold idle come free within tens of seconds.
+const FIRST: u64 = 4;
 const DOUBLED: u32 = 4;
 /// The part of the usual time for which an idle connection is kept while places are short.
 const SHORT: u64 = 16;
@@ -24,43 +25,52 @@
     /// How often it was turned away since it last got one more.
     turned: u32,
     until: Time,
+    /// When the one that knocks was sent, while it is out.
+    knocked: Option<Time>,
 }
 
 impl Slots {
     /// A command goes there.
-    pub fn sent(&mut self) {
+    pub fn sent(&mut self, now: Time) {
         self.out += 1;
+        if self.most.is_some_and(|most| self.out > most) {
+            self.knocked = self.knocked.or(Some(now));
+        }
     }
 
-    /// One came back, answered or not.
-    pub fn ended(&mut self, answered: bool) {
-        if answered && self.most.is_some_and(|most| self.out > most) {
-            // There was a place for one more.
-            (self.most, self.turned, self.until) = (None, 0, Time(0));
+    /// One that was sent then came back, answered or not. Those on connections that are held tell nothing of another.
+    pub fn ended(&mut self, sent: Time, answered: bool) {
+        if self.knocked == Some(sent) {
+            self.knocked = None;
+            if answered {
+                // There was a place for one more.
+                (self.most, self.turned, self.until) = (None, 0, Time(0));
+            }
         }
         self.out = self.out.saturating_sub(1);
     }
 
-    /// Turned away, after the end of the command that knocked. `salt` is the router's, `key` the host's.
+    /// Turned away, after the end of the command that knocked. `salt` is the router's, `key` the host's, `connect` the
+    /// longest that a connection may take to come up.
     ///
     /// ```
     /// use comethitch_fleet::slots::Slots;
     /// use comethitch_time::{Span, Time};
     /// let (mut slots, now) = (Slots::default(), Time(1_000_000));
-    /// slots.sent();
+    /// slots.sent(now);
     /// assert!(slots.open(now), "nobody has said anything yet");
-    /// slots.sent();
-    /// slots.ended(false);
-    /// slots.turned_away(1, 2, now);
+    /// slots.sent(now);
+    /// slots.ended(now, false);
+    /// slots.turned_away(1, 2, Span(250_000), now);
     /// assert!(!slots.open(now), "one is out there, and there is no place for two");
-    /// slots.ended(true);
+    /// slots.ended(now, true);
     /// assert!(slots.open(now), "the one is back, and its connection is kept");
     /// ```
-    pub fn turned_away(&mut self, salt: u64, key: u64, now: Time) {
+    pub fn turned_away(&mut self, salt: u64, key: u64, connect: Span, now: Time) {
         self.most = Some(self.out);
         // Several knocked at once: one refusal, not several.
         if now >= self.until {
-            let longest = FIRST * (1 << self.turned.min(DOUBLED));
+            let longest = connect * FIRST * (1 << self.turned.min(DOUBLED));
             self.turned += 1;
             self.until = now + longest.scaled(0.5 + drawn([salt, key, self.turned.into()]) / 2.0);
         }
@@ -94,15 +104,17 @@
 mod tests {
     use super::*;
 
+    const CONNECT: Span = Span(250_000);
+
     /// Sends whenever it may, every 10 ms over a minute, to a host that never has a place: when it knocked.
     fn knocks(salt: u64) -> Vec<Time> {
         let mut slots = Slots::default();
         let at = (0..6_000).map(|nth| Time(nth * 10_000)).filter(|now| {
             let open = slots.open(*now);
             if open {
-                slots.sent();
-                slots.ended(false);
-                slots.turned_away(salt, 9, *now);
+                slots.sent(*now);
+                slots.ended(*now, false);
+                slots.turned_away(salt, 9, CONNECT, *now);
             }
             open
         });
@@ -128,13 +140,27 @@
     #[test]
     fn after_a_while_one_knocks_and_what_it_finds_counts_for_all() {
         let (mut slots, now) = (Slots::default(), Time(1_000_000));
-        slots.turned_away(1, 2, now);
-        let later = now + FIRST;
+        slots.turned_away(1, 2, CONNECT, now);
+        let later = now + CONNECT * FIRST;
         assert!(!slots.open(now) && slots.open(later));
-        slots.sent();
+        slots.sent(later);
         assert!(!slots.open(later), "one knocks at a time");
-        slots.ended(true);
-        slots.sent();
+        slots.ended(later, true);
+        slots.sent(later);
         assert!(slots.open(later), "there are places again");
     }
+
+    #[test]
+    fn an_answer_on_a_connection_that_was_held_says_nothing_of_a_place_for_one_more() {
+        let (mut slots, now) = (Slots::default(), Time(1_000_000));
+        slots.sent(now);
+        slots.turned_away(1, 2, CONNECT, now);
+        let later = now + CONNECT * FIRST;
+        slots.sent(later);
+        slots.ended(now, true);
+        assert_eq!(slots.most, Some(1), "the one that knocks is still out");
+        slots.ended(later, false);
+        slots.turned_away(1, 2, CONNECT, later);
+        assert!(slots.until - later > CONNECT * FIRST, "the second wait is longer than the first could be");
+    }
 }
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -335,7 +335,7 @@
         node.sent.add(heft, now, self.deployment.ramp.span);
         node.spent.add(heft, self.salt, now, self.deployment.ramp.span);
         node.ask(now);
-        node.slots.sent();
+        node.slots.sent(now);
         if node.mute {
             node.shunned = now + TRIED_EVERY;
         }
@@ -631,7 +631,7 @@
         let node = &mut self.nodes[i];
         let sent = node.probe_sent.take().unwrap_or(now);
         if ending == Ending::NoSlot {
-            node.turned_away(self.salt, now);
+            node.turned_away(self.salt, self.deployment.connect_timeout, now);
         } else if matches!(ending, Ending::Answered | Ending::Error | Ending::Full) {
             node.shows_life(now);
             // It runs but tells nothing: it has just started, is asked by too many, or only its probes fail.
@@ -658,7 +658,7 @@
             self.nodes[i].sent.take_back(heft);
         }
         let node = &mut self.nodes[i];
-        node.slots.ended(ending == Ending::Answered);
+        node.slots.ended(sent, ending == Ending::Answered);
         let mut late = None;
         match ending {
             Ending::Answered | Ending::Miss | Ending::Error | Ending::Full => {
@@ -683,7 +683,7 @@
                 node.strike(now, self.deployment.connect_timeout);
                 node.probe_next = now;
             }
-            Ending::NoSlot => node.turned_away(self.salt, now),
+            Ending::NoSlot => node.turned_away(self.salt, self.deployment.connect_timeout, now),
             Ending::Moot => {}
         }
         if ending == Ending::Answered {
@@ -935,9 +935,9 @@
     }
 
     /// It runs, and has no place for one more connection.
-    fn turned_away(&mut self, salt: u64, now: Time) {
+    fn turned_away(&mut self, salt: u64, connect: Span, now: Time) {
         self.shows_life(now);
-        self.slots.turned_away(salt, self.host.number(), now);
+        self.slots.turned_away(salt, self.host.number(), connect, now);
     }
 
     fn shows_life(&mut self, now: Time) {
