A replica that this router has not used yet is let in by chance, where proofs guard reads

has_room lets such a replica in by the router's draw of the half target, for its part of the longest target's work at the reach that the host has now, where positions alone guard reads and the router has used others of the group.

--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -106,8 +106,9 @@
     report_age: Histogram,
     /// The latest commit that each session was told of, where this router has to remember.
     commits: Commits,
-    /// The shortest response target, and the tightest bound on the age of data.
+    /// The shortest response target, the longest, and the tightest bound on the age of data.
     target: Span,
+    longest: Span,
     tightest: Span,
     /// Whether positions alone guard reads, and bounds alone ask for them: they are proven just in time.
     just_in_time: bool,
@@ -137,6 +138,7 @@
             report_age: Histogram::new(deployment.beat, 256),
             commits: Commits::default(),
             target,
+            longest: deployment.groups.iter().map(|g| g.target).max().unwrap_or(target),
             tightest,
             just_in_time: deployment.guards == Guards::Off && !deployment.serves(Need::Session),
             free: Vec::new(),
@@ -190,9 +192,8 @@
         self.forget_gone(out.now());
         // Until something was heard from a host, all routers together put no more there than the longest
         // target's work: one that comes into many circles is else filled for seconds before any is late.
-        let longest = self.deployment.groups.iter().map(|g| g.target).max().unwrap_or(self.target);
         for i in (0..self.nodes.len()).filter(|i| self.nodes[*i].heard == Time(0)).collect::<Vec<_>>() {
-            self.nodes[i].room.limit = longest.scaled(1.0 / self.sharers(i, out.now()));
+            self.nodes[i].room.limit = self.longest.scaled(1.0 / self.sharers(i, out.now()));
         }
         self.probe_due(out);
         self.serve_lines(out);
@@ -585,12 +586,16 @@
         let target = self.deployment.groups[group].target;
         let stretch = if self.long(group) { target.over(self.target) } else { 1.0 };
         let work = self.work(group);
+        let turn = share::turn(self.salt, node.host.number(), now, self.target / 2);
+        // One that nobody here has used comes in as the others fail: hundreds of routers turn to it at once.
+        let new = self.just_in_time
+            && node.heard == Time(0)
+            && self.groups[&node.shard].primary != Some(i)
+            && self.groups[&node.shard].nodes.iter().any(|j| self.nodes[*j].heard > Time(0));
+        let part = self.longest.scaled(1.0 / share::sharers(self.deployment.ramp.routers, reach)).over(work);
         let fits = node.slots.open(now)
-            && node.room.holds(
-                work,
-                stretch,
-                share::turn(self.salt, node.host.number(), now, self.target / 2),
-            )
+            && !(new && turn >= part)
+            && node.room.holds(work, stretch, turn)
             && self.groups[&node.shard].rooms[group].holds(work, 1.0, 0.0);
         let warmth = self.warmth(i, now);
         if !fits || warmth >= 1.0 {
