--- a/crates/comethitch-lab/src/fleet.rs
+++ b/crates/comethitch-lab/src/fleet.rs
@@ -538,7 +538,7 @@
             let second = (self.now - START).0 / 1_000_000;
             self.ledger.load(second, host, 1.0 / f64::from(self.hosts[host].cores));
         }
-        let was = self.hosts[host].fallen;
+        let was = (self.hosts[host].fallen, self.hosts[host].crowd);
         let ending = match self.hosts[host].arrive(job, &self.cold, self.now) {
             Arrived::Runs(takes) => {
                 self.at(self.now + takes, Event::Done { host, router, command, nth, work });
@@ -548,9 +548,10 @@
             Arrived::Full => Some(FULL),
             Arrived::Dead => Some(RESET),
         };
-        if !was && self.hosts[host].fallen {
+        if !was.0 && self.hosts[host].fallen {
             self.ledger.breaks("cold", format!("host {host} fell over at {:?}", self.now - START));
         }
+        self.ledger.crowded(host, was.1, self.hosts[host].crowd);
         match (ending, number) {
             (None, Some(number)) => self.ledger.may_run(number),
             (None, None) => {}
--- a/crates/comethitch-lab/src/hosts.rs
+++ b/crates/comethitch-lab/src/hosts.rs
@@ -20,6 +20,20 @@
     pub within: Span,
     pub multiple: f64,
     pub span: Span,
+    /// What a command takes on one core, on the mean.
+    pub work: Span,
+}
+
+impl Cold {
+    /// The most commands within `span` that count as chance where the settings allow so many of mean work: each router
+    /// draws for itself whether it sends one, so that the sum of all spreads by the root of its mean at the most.
+    ///
+    /// ```
+    /// assert_eq!(comethitch_lab::hosts::Cold::most(25.0), 37.0);
+    /// ```
+    pub fn most(allowed: f64) -> f64 {
+        allowed + 2.0 * allowed.sqrt() + 2.0
+    }
 }
 
 #[derive(Debug)]
@@ -41,6 +55,8 @@
     running: Vec<Job>,
     /// What was sent lately, for its fall: at most as long as `Cold::span`.
     pressure: VecDeque<(Time, Span)>,
+    /// The most commands that came within a span while it was cold, over [`Cold::most`] of what it bore then.
+    pub crowd: f64,
     reported: (Time, usize),
 }
 
@@ -72,6 +88,7 @@
             waiting: VecDeque::new(),
             running: Vec::new(),
             pressure: VecDeque::new(),
+            crowd: 0.0,
             reported: (Time(0), 0),
         }
     }
@@ -120,6 +137,10 @@
         let sent: u64 = self.pressure.iter().map(|(_, work)| work.0).sum();
         let bears = cold.multiple * warmth * f64::from(self.cores) * cold.span.0 as f64;
         self.fallen = warmth < 1.0 && sent as f64 > bears;
+        if warmth < 1.0 {
+            let most = Cold::most(bears / cold.work.0.max(1) as f64);
+            self.crowd = self.crowd.max(self.pressure.len() as f64 / most);
+        }
     }
 
     /// A job is done: the next one in line, and how long it takes.
@@ -178,7 +199,13 @@
 mod tests {
     use super::*;
 
-    const COLD: Cold = Cold { from: 0.2, within: Span(10_000_000), multiple: 2.5, span: Span(1_500_000) };
+    const COLD: Cold = Cold {
+        from: 0.2,
+        within: Span(10_000_000),
+        multiple: 2.5,
+        span: Span(1_500_000),
+        work: Span(100_000),
+    };
 
     fn job(nth: u16) -> Job {
         Job { router: 0, command: 1, nth, work: Span(100_000) }
--- a/crates/comethitch-lab/src/ledger.rs
+++ b/crates/comethitch-lab/src/ledger.rs
@@ -43,6 +43,7 @@
     commands: BTreeMap<u64, Record>,
     broken: Vec<String>,
     breaks: u64,
+    cold_most: f64,
     /// By first try: when it was asked, and whether it or a repeat was answered in time.
     in_time: BTreeMap<u64, (Time, bool)>,
     throttled: u64,
@@ -66,6 +67,7 @@
             commands: BTreeMap::new(),
             broken: Vec::new(),
             breaks: 0,
+            cold_most: 0.0,
             in_time: BTreeMap::new(),
             throttled: 0,
             failed: 0,
@@ -95,6 +97,14 @@
         }
     }
 
+    /// So many commands, over what counts as chance, came within a span to a cold host: its most before, and now.
+    pub fn crowded(&mut self, host: usize, before: f64, now: f64) {
+        self.cold_most = self.cold_most.max(now);
+        if before <= 1.0 && now > 1.0 {
+            self.breaks("cold", format!("host {host} got {now:.2} times what counts as chance"));
+        }
+    }
+
     /// A client asks for the first time, whether or not a router takes it: what nobody takes is not answered in time.
     pub fn asked(&mut self, origin: (u64, Time)) {
         self.in_time.entry(origin.0).or_insert((origin.1, false));
@@ -244,6 +254,7 @@
             greatest: over(|one| one.1),
             idle: idle.values().map(|(_, most)| *most).max().unwrap_or(0),
             breaks: self.breaks,
+            cold_most: self.cold_most,
             broken: self.broken,
             seconds: seconds.into_iter().collect(),
         }
@@ -282,6 +293,9 @@
     /// The most seconds in a row that a usable replica was without a read.
     pub idle: u64,
     pub breaks: u64,
+    /// The most commands that a cold host got within a span from all routers together, over the most that counts as
+    /// chance: above 1 the rule is broken.
+    pub cold_most: f64,
     /// The first few breaks of rules, in words.
     pub broken: Vec<String>,
     /// By number, from the start.
@@ -289,8 +303,7 @@
 }
 
 impl Report {
-    pub const HEAD: &str =
-        "asked,in_time,throttled,failed,p50_ms,p99_ms,probes,connections,variation,greatest,idle_s,breaks";
+    pub const HEAD: &str = "asked,in_time,throttled,failed,p50_ms,p99_ms,probes,connections,variation,greatest,idle_s,breaks,cold_most";
 
     /// Seconds from a fault at `second` until the share answered in time is back: the first second from which it
     /// stays within `by` of its mean over the five seconds before the fault, for five seconds. `None` if it never is.
@@ -328,7 +341,7 @@
     /// The figures of [`Report::HEAD`], parted by commas.
     pub fn row(&self) -> String {
         format!(
-            "{},{:.4},{:.4},{:.4},{:.1},{:.1},{:.3},{:.3},{:.3},{:.2},{},{}",
+            "{},{:.4},{:.4},{:.4},{:.1},{:.1},{:.3},{:.3},{:.3},{:.2},{},{},{:.2}",
             self.asked,
             self.in_time,
             self.throttled,
@@ -340,7 +353,8 @@
             self.variation,
             self.greatest,
             self.idle,
-            self.breaks
+            self.breaks,
+            self.cold_most
         )
     }
 }
--- a/crates/comethitch-lab/src/live/databases.rs
+++ b/crates/comethitch-lab/src/live/databases.rs
@@ -153,11 +153,12 @@
     let work = Span((factor * live.trial.work_ms * 1e3).max(1.0) as u64);
     live.jobs.set(live.jobs.get().wrapping_add(1));
     let job = Job { router, command: live.jobs.get(), nth: 0, work };
-    let was = live.hosts.borrow()[host].fallen;
+    let was = (live.hosts.borrow()[host].fallen, live.hosts.borrow()[host].crowd);
     let arrived = live.hosts.borrow_mut()[host].arrive(job, &live.trial.cold(), now());
-    if !was && live.hosts.borrow()[host].fallen {
+    if !was.0 && live.hosts.borrow()[host].fallen {
         live.ledger.borrow_mut().breaks("cold", format!("host {host} fell over in second {second}"));
     }
+    live.ledger.borrow_mut().crowded(host, was.1, live.hosts.borrow()[host].crowd);
     let (tell, done) = async_channel::bounded(1);
     match arrived {
         Arrived::Runs(takes) => {
--- a/crates/comethitch-lab/src/trial.rs
+++ b/crates/comethitch-lab/src/trial.rs
@@ -242,6 +242,7 @@
             within: Span(self.warm_within_ms * 1000),
             multiple: self.fall_multiple,
             span: Span(self.fall_ms * 1000),
+            work: Span((self.work_ms * 1e3) as u64),
         }
     }
 
--- a/crates/comethitch/src/command.rs
+++ b/crates/comethitch/src/command.rs
@@ -13,6 +13,13 @@
     pub work: Span,
 }
 
+impl Dispatch {
+    /// Whether it ran, may have run or may still run.
+    pub fn maybe_ran(&self) -> bool {
+        !self.ended.is_some_and(Ending::never_ran)
+    }
+}
+
 /// What is kept of a taken command until it is answered and nothing is out.
 #[derive(Default)]
 pub struct Command {
@@ -35,6 +42,6 @@
 
     /// The dispatches that ran, may have run or may still run.
     pub fn maybe_ran(&self) -> impl Iterator<Item = &Dispatch> {
-        self.dispatches.iter().filter(|d| !d.ended.is_some_and(Ending::never_ran))
+        self.dispatches.iter().filter(|d| d.maybe_ran())
     }
 }
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -262,7 +262,7 @@
             group.probes_saved = (group.probes_saved + points / self.deployment.probe_price).min(most);
             group.asked.add(1.0, now, PROBE_IDLE);
         }
-        self.prove(shard, group, out);
+        self.prove(shard, group, must_see, out);
         self.place(id, out);
         Handle(id)
     }
@@ -300,14 +300,14 @@
             let mut left = Vec::with_capacity(line.len());
             for id in line {
                 let Some(command) = self.commands.get(&id).filter(|c| c.waiting && !c.done) else { continue };
-                let kind = (command.group, command.shard);
+                let (kind, must_see) = ((command.group, command.shard), command.must_see);
                 let barred = stuck.contains(&kind) || (further == 1 && self.further_saved < 1.0);
                 match if barred { Way::Wait } else { self.way(id, out.now()) } {
                     Way::To(i) => self.send(id, i, out),
                     Way::Refused => self.give_up(id, GivenUp::NoPrimary, out),
                     Way::Wait => {
                         if !barred {
-                            self.prove(kind.1, kind.0, out);
+                            self.prove(kind.1, kind.0, must_see, out);
                         }
                         stuck.extend((!barred).then_some(kind));
                         left.push(id);
@@ -479,25 +479,30 @@
 
     /// Whether the rules allow this command one more dispatch, to this host.
     fn may_send(&self, command: &Command, kind: &CommandGroup, i: usize, now: Time) -> bool {
-        if command.dispatches.is_empty() {
-            return true;
-        }
-        let copies = self.deployment.second_copies || command.out().next().is_none();
-        if !copies || command.dispatches.len() >= self.deployment.max_dispatches {
+        // A repeat must arrive while the first is remembered: the way there may take a connection.
+        let arrival = now + self.deployment.connect_timeout;
+        let nth = command.dispatches.len();
+        nth == 0 || nth < self.deployment.max_dispatches && self.may_repeat(command, nth, kind, i, arrival)
+    }
+
+    /// Whether the `nth` dispatch may be written to this host at that moment beside what was sent before it.
+    fn may_repeat(&self, command: &Command, nth: usize, kind: &CommandGroup, i: usize, at: Time) -> bool {
+        let before = &command.dispatches[..nth];
+        if !self.deployment.second_copies && before.iter().any(|d| d.ended.is_none()) {
             return false;
         }
         let node = &self.nodes[i];
+        let mut maybe_ran = before.iter().filter(|d| d.maybe_ran());
         match kind.effect {
             Effect::Replayable => true,
-            Effect::Mutating => command.maybe_ran().next().is_none(),
-            // A repeat must arrive while the first is remembered: the way there may take a connection.
-            Effect::Keyed => command.maybe_ran().all(|ran| {
+            Effect::Mutating => maybe_ran.next().is_none(),
+            Effect::Keyed => maybe_ran.all(|ran| {
                 let same = match kind.reach {
                     Reach::Everywhere => true,
                     Reach::Zone => self.nodes[ran.node].zone == node.zone,
                     Reach::Shard => self.nodes[ran.node].shard == node.shard,
                 };
-                same && now + self.deployment.connect_timeout + self.beat < ran.sent + kind.remembered
+                same && at + self.beat < ran.sent + kind.remembered
             }),
         }
     }
@@ -550,21 +555,25 @@
         share::sharers(self.deployment.ramp.routers, reach.min(1.0))
     }
 
-    /// Asks for what a bounded read needs: the proofs of its circle that run out before the next could come.
-    fn prove(&mut self, shard: Shard, group: usize, out: &mut dyn Outlet) {
+    /// Asks for what a read needs: the proofs of its circle that run out before the next could come, or are
+    /// older than what its session has written.
+    fn prove(&mut self, shard: Shard, group: usize, must_see: Time, out: &mut dyn Outlet) {
+        let now = out.now();
+        let lasts = |bound: Span| proof::lasts(bound - bound / MARGIN, PROBE_AGAIN);
         let known = self.groups.get(&shard).filter(|_| self.just_in_time && self.deployment.may_probe);
-        let bound = match (self.deployment.groups[group].need, known) {
-            (Need::Bounded(bound), Some(_)) => bound,
+        let proven = match (self.deployment.groups[group].need, known) {
+            (Need::Bounded(bound), Some(_)) => now - lasts(bound),
+            (Need::Session, Some(_)) if must_see > Time(0) => must_see,
             // Whether the group keeps a primary in doubt shows in whether its other members move on.
-            (Need::Write | Need::Fresh, Some(known)) if known.state == State::Unhealthy => SILENCE,
+            (Need::Write | Need::Fresh, Some(known)) if known.state == State::Unhealthy => {
+                now - lasts(SILENCE)
+            }
             _ => return,
         };
-        let now = out.now();
-        let lasts = proof::lasts(bound - bound / MARGIN, PROBE_AGAIN);
         for Member { at, reach, .. } in self.circle(shard, now) {
             let node = &self.nodes[at];
             let asked = node.probe_sent.is_some() || now < node.prove_next;
-            if now - node.position > lasts && !asked && self.has_room(at, reach, group, now) {
+            if node.position < proven && !asked && self.has_room(at, reach, group, now) {
                 let lag = Some(node.lag).filter(|_| node.position > Time(0));
                 self.nodes[at].prove_next = now + proof::wait(lag, PROBE_AGAIN);
                 self.probe(at, out);
@@ -806,6 +815,13 @@
         self.serve_lines(out);
     }
 
+    /// The router ends: what is still in hand gets its final answer now.
+    pub fn stops(&mut self, out: &mut dyn Outlet) {
+        for id in self.commands.keys().copied().collect::<Vec<_>>() {
+            self.give_up(id, GivenUp::TimeUp, out);
+        }
+    }
+
     fn watch(&mut self, shard: Shard, out: &mut dyn Outlet) {
         let now = out.now();
         let group = &self.groups[&shard];
@@ -962,13 +978,20 @@
         }
     }
 
-    /// Whether a dispatch that was held up on its way may still go: the age of data counts as it is written.
+    /// Whether a dispatch that was held up on its way may still go: what the rules ask for counts as it is
+    /// written. While its connection came up, its command may have been given up, its host told to drain, its
+    /// repeat be forgotten there, or the data have become too old.
     pub fn may_go(self, router: &Router, nth: u16, now: Time) -> bool {
-        let Some(command) = router.commands.get(&self.0).filter(|c| !c.done) else { return false };
-        let i = command.dispatches[usize::from(nth)].node;
-        let need = router.deployment.groups[command.group].need;
+        let Some(command) = router.commands.get(&self.0).filter(|c| !c.done && now < c.expiry) else {
+            return false;
+        };
+        let (nth, kind) = (usize::from(nth), &router.deployment.groups[command.group]);
+        let Some(dispatch) = command.dispatches.get(nth).filter(|d| d.ended.is_none()) else { return false };
+        let (i, need) = (dispatch.node, kind.need);
         let aged = matches!(need, Need::Bounded(_)) && !router.fresh_enough(i, need, Time(0), now);
-        !aged || router.deployment.guards != Guards::Off || router.groups[&command.shard].primary == Some(i)
+        let primary = router.groups[&command.shard].primary == Some(i);
+        let checked = primary || router.deployment.guards != Guards::Off;
+        (!aged || checked) && !router.parted(i, now) && router.may_repeat(command, nth, kind, i, now)
     }
 
     /// A dispatch ended. `over` says that the command is finished by this or was before; `noted` is what the
--- a/crates/comethitchd/src/memory/hub.rs
+++ b/crates/comethitchd/src/memory/hub.rs
@@ -58,6 +58,8 @@
     pub for_hosts: Descriptors,
     /// Whom to ask for the list, and what is raised once that is somebody else.
     pub discovery: RefCell<(SocketAddr, Flag)>,
+    /// When a watch last told anything, were it an empty line.
+    pub heard: Cell<Time>,
     /// The list is held: clients may come.
     pub ready: Flag,
     /// Where statements are judged by their text, if the operator has given rules for that.
@@ -95,6 +97,7 @@
             for_clients: Descriptors::new(for_clients),
             for_hosts: Descriptors::new(connections - for_clients),
             discovery: RefCell::new((site.discovery, Flag::default())),
+            heard: Cell::new(clock.now()),
             ready: Flag::default(),
             desk: RefCell::new(desk),
             tally: Tally::default(),
--- a/crates/comethitchd/src/protocols/line.rs
+++ b/crates/comethitchd/src/protocols/line.rs
@@ -8,16 +8,24 @@
 use crate::memory::hub::Hub;
 use crate::memory::tally::count;
 use crate::wire::Malformed;
-use async_io::Async;
+use async_io::{Async, Timer};
 use comethitch::time::Time;
-use futures_lite::{AsyncWriteExt, FutureExt, future};
+use futures_lite::{AsyncWriteExt, FutureExt};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::future::Future;
 use std::io::{self, Read};
 use std::net::{IpAddr, Shutdown, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Once this much of further commands has come in, no more is read before the answer in hand.
 const FURTHER: usize = 8 * 1024;
+/// While nothing is read, whether the client has gone is looked at this often: what begins a tenth of a second after it
+/// went is too late.
+const LOOK: Duration = Duration::from_millis(25);
+/// What comes behind the last answer on a connection that ends here is read out for this long: closed over unread
+/// bytes it would be reset, and what the client has not read yet lost.
+const LINGER: Duration = Duration::from_millis(60);
 /// A client that has sent this many statements in a row that are no commands is not listened to any more.
 const MOST_REJECTED: u32 = 8;
 
@@ -36,6 +44,8 @@
     pub served: bool,
     /// Statements in a row that were no commands.
     rejected: u32,
+    /// It was asked to close before the bytes read last: what comes now crosses the close.
+    last_read: bool,
 }
 
 /// Why a client's connection ends here.
@@ -81,6 +91,7 @@
             _permit: permit,
             served: false,
             rejected: 0,
+            last_read: false,
         }
     }
 
@@ -113,7 +124,9 @@
                 self.dismiss(told("53300", why), why).await;
             }
             Stop::Io(error) => log::debug!("client {}: {error}", self.number),
-            Stop::Left | Stop::Closing => {}
+            // All is answered. What comes now the client sends again: it sees the end first.
+            Stop::Closing => self.dismiss(Vec::new(), "closed between two commands").await,
+            Stop::Left => {}
         }
         self.hub.clients.leave(self.number);
     }
@@ -130,24 +143,37 @@
         let at_rest = empty && self.served;
         clients.turn(self.number, if at_rest { Stage::Idle } else { Stage::Asking }, self.hub.clock.now());
         let (stream, notice) = (&self.stream, &self.notice);
+        // A client that sends on and on is not waited for: what crosses the close it sends again.
+        if at_rest && self.last_read {
+            return Err(Stop::Closing);
+        }
         let fill = async { Ok(self.buffer.fill(stream).await?) };
         let close = async {
             notice.reaches(if at_rest { Close::AtRest } else { Close::Now }).await;
             Err(Stop::Closing)
         };
-        match fill.or(close).await {
-            Ok(0) => return Err(Stop::Left),
+        let read = match fill.or(close).await {
             Err(Stop::Closing) if !empty => return Err(Stop::Lost("the rest of a message did not come")),
-            // Something came at the last moment: it is read at the next turn.
-            Err(Stop::Closing) if !self.hang_up() => return Ok(()),
+            // Something came at the last moment.
+            Err(Stop::Closing) if self.has_come() => self.buffer.fill(&self.stream).await?,
             read => read?,
         };
-        self.arrived = self.hub.arrival();
+        if read == 0 {
+            return Err(Stop::Left);
+        }
+        self.has_read();
         Ok(())
     }
 
-    /// Tells a client why it is not listened to any more. What it still sends is dropped for a while: closed
-    /// with bytes unread, the connection would be reset, and the client might never read its error.
+    /// Bytes were read just now.
+    fn has_read(&mut self) {
+        self.arrived = self.hub.arrival();
+        self.last_read = self.notice.asked() != Close::Never;
+    }
+
+    /// Ends a connection: tells the client why, if there is anything to tell, and ends the sending. What it still sends
+    /// is dropped for a while, and none of it carried out: closed with bytes unread, the connection would be reset, and
+    /// the client might never read its error, or its last answer.
     async fn dismiss(&mut self, out: Vec<u8>, why: &'static str) {
         log::debug!("client {}: {why}", self.number);
         self.hub.clients.turn(self.number, Stage::Ending, self.hub.clock.now());
@@ -167,50 +193,73 @@
         };
         told.or(async {
             notice.reaches(Close::Now).await;
-            None::<()>
+            after(LINGER, None::<()>).await
         })
         .await;
     }
 
-    /// Ends the connection unless a command has come in that is not read yet; one that comes later is the
-    /// client's to send again, as it sees the end first.
-    fn hang_up(&self) -> bool {
-        let stream = self.stream.get_ref();
-        let come = stream.peek(&mut [0]).is_ok_and(|length| length > 0);
-        if !come {
-            let _ = stream.shutdown(Shutdown::Both);
+    /// Whether bytes have come that are not read yet.
+    fn has_come(&self) -> bool {
+        self.stream.get_ref().peek(&mut [0]).is_ok_and(|length| length > 0)
+    }
+
+    /// Whether the client has gone: it closed its connection or its sending, or the connection was reset, also behind
+    /// bytes that are not read yet. Nothing is begun for it any more.
+    pub fn has_left(&self) -> bool {
+        match self.stream.get_ref().peek(&mut [0]) {
+            Ok(0) => true,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            // Behind what is unread only the system sees the end.
+            Ok(_) => {
+                let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+                let mut asked = [PollFd::new(&self.stream, gone)];
+                let found = poll(&mut asked, Some(&Timespec { tv_sec: 0, tv_nsec: 0 }));
+                found.is_ok_and(|number| number > 0) && asked[0].revents().intersects(gone)
+            }
+        }
+    }
+
+    /// Waits until the client has gone, and reads nothing.
+    async fn leaves(&self) {
+        while !self.has_left() {
+            Timer::after(LOOK).await;
         }
-        !come
     }
 
     /// Waits for something, and notices if the client goes away before it.
     pub async fn while_here<T>(&mut self, event: impl Future<Output = T>) -> Result<T, Stop> {
         // Without interruptions something comes, or the client leaves.
-        self.unless(event, |_| false).await?.ok_or(Stop::Left)
+        self.unless(event, None::<fn(&[u8]) -> bool>).await?.ok_or(Stop::Left)
     }
 
-    /// The same, up to what the client sends meanwhile is an interruption; then nothing has come.
+    /// The same, up to what the client sends meanwhile is an interruption, if it can send any; then nothing has come.
     pub async fn unless<T>(
-        &mut self, event: impl Future<Output = T>, interrupts: impl Fn(&[u8]) -> bool,
+        &mut self, event: impl Future<Output = T>, interrupts: Option<impl Fn(&[u8]) -> bool>,
     ) -> Result<Option<T>, Stop> {
         let mut event = std::pin::pin!(event);
+        let mut no_room = false;
         loop {
-            let (stream, buffer) = (&self.stream, &mut self.buffer);
+            // Enough has come; or a router that stops answers what it has read, and reads no more commands.
+            let enough =
+                no_room || self.buffer.unread().len() >= FURTHER || self.last_read && interrupts.is_none();
             let come = async { Ok(event.as_mut().await) };
             let read = async {
-                if buffer.unread().len() >= FURTHER {
-                    future::pending::<()>().await;
+                if enough {
+                    self.leaves().await;
+                    return Err(Ok(0));
                 }
-                Err(buffer.fill(stream).await)
+                Err(self.buffer.fill(&self.stream).await)
             };
             match come.or(read).await {
                 Ok(come) => return Ok(Some(come)),
                 Err(Ok(length)) if length > 0 => {
-                    self.arrived = self.hub.arrival();
-                    if interrupts(self.buffer.unread()) {
+                    self.has_read();
+                    if interrupts.as_ref().is_some_and(|interrupts| interrupts(self.buffer.unread())) {
                         return Ok(None);
                     }
                 }
+                // No room to read what comes next is no reason to give up what is in hand.
+                Err(Err(error)) if error.kind() == io::ErrorKind::OutOfMemory => no_room = true,
                 Err(_) => return Err(Stop::Left),
             }
         }
--- a/crates/comethitchd/src/protocols/postgres/send.rs
+++ b/crates/comethitchd/src/protocols/postgres/send.rs
@@ -17,6 +17,7 @@
 use comethitch::{CommandId, Ending, Host, Standing};
 use futures_lite::{AsyncWriteExt, FutureExt};
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -170,8 +171,10 @@
             }
         }
         match connection.buffer.fill(&connection.stream).await {
+            Ok(1..) => {}
+            // The host has no part in that.
+            Err(error) if error.kind() == ErrorKind::OutOfMemory => return Err(ConnectionEnd::TooLarge),
             Ok(0) | Err(_) => return Err(ConnectionEnd::Broken),
-            Ok(_) => {}
         }
     }
 }
--- a/crates/comethitchd/src/protocols/postgres/take_in.rs
+++ b/crates/comethitchd/src/protocols/postgres/take_in.rs
@@ -127,6 +127,8 @@
                     self.line.hub.turned_away(&admitted.name, "at_limit");
                     put_reply(&mut out, Reply::Throttled(None));
                 }
+                // It went while its statement waited to be read: nothing begins for it.
+                Ok(_) if self.line.has_left() => return Err(Stop::Left),
                 Ok(admitted) => {
                     self.line.hub.clients.turn(self.line.number, Stage::Busy, self.line.hub.clock.now());
                     let (id, reply) = route::take(&self.line.hub, admitted, text, b'Q');
--- a/crates/comethitchd/src/protocols/sending.rs
+++ b/crates/comethitchd/src/protocols/sending.rs
@@ -87,7 +87,8 @@
 }
 
 /// A connection to a host, kept or new, on which the bytes that `wire` gives for it were written whole. A new
-/// connection can take long to come up, so the module is asked then whether they `may_go` still.
+/// connection can take long to come up, and so can this task's turn, so the module is asked just before whether they
+/// `may_go` still.
 pub async fn written(
     hub: &Hub, host: Host, may_go: impl Fn() -> bool,
     connect: impl AsyncFn(SocketAddr) -> Result<HostConnection, ConnectionEnd>,
@@ -105,8 +106,8 @@
                 }
             })?,
         };
-        if fresh && !may_go() {
-            hub.pool.borrow_mut().put(host, connection, hub.clock.now());
+        if !may_go() {
+            keep(hub, host, connection);
             return Err(ConnectionEnd::NotTried);
         }
         let bytes = wire(&connection);
--- a/crates/comethitchd/src/protocols/tds/send.rs
+++ b/crates/comethitchd/src/protocols/tds/send.rs
@@ -20,6 +20,7 @@
 use comethitch_tds::types::Value;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -164,8 +165,10 @@
             return Ok(false);
         }
         match connection.buffer.fill(&connection.stream).await {
+            Ok(1..) => {}
+            // The host has no part in that.
+            Err(error) if error.kind() == ErrorKind::OutOfMemory => return Err(ConnectionEnd::TooLarge),
             Ok(0) | Err(_) => return Err(ConnectionEnd::Broken),
-            Ok(_) => {}
         }
     }
 }
--- a/crates/comethitchd/src/protocols/tds/take_in.rs
+++ b/crates/comethitchd/src/protocols/tds/take_in.rs
@@ -346,11 +346,15 @@
             put_reply(tokens, Reply::Throttled(None), numbers, called, true);
             return Ok(true);
         }
+        // It went while its statement waited to be read: nothing begins for it.
+        if self.line.has_left() {
+            return Err(Stop::Left);
+        }
         let repeatable = admitted.known.as_ref().is_some_and(|known| known.verdict.effect.may_repeat());
         hub.clients.turn(self.line.number, Stage::Busy, hub.clock.now());
         let (id, reply) = route::take(&hub, admitted, payload, kind.code());
         let attention = |unread: &[u8]| unread.first() == Some(&Kind::Attention.code());
-        match self.line.unless(reply.recv(), attention).await {
+        match self.line.unless(reply.recv(), Some(attention)).await {
             Ok(Some(Ok(Reply::Begun(first, parts)))) => {
                 self.pass_on(tokens, first, &parts, called).await?;
                 self.line.answered();
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -9,7 +9,7 @@
 use crate::protocols::tds::Tds;
 use crate::protocols::tds::ways::Ways;
 use crate::service::watch;
-use crate::stages::learn;
+use crate::stages::{learn, route};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use comethitch_statement::Dialect;
@@ -22,10 +22,15 @@
 
 /// With a list from its configuration a router waits this long for discovery's own, then serves with that.
 const FIRST_LIST: Duration = Duration::from_secs(1);
+/// Without one it waits longer, and is then ready all the same: what it is asked it throttles until a list comes. A
+/// router counts as restarted well only if it is ready within ten seconds, and discovery may be down for longer.
+const NO_LIST: Duration = Duration::from_secs(5);
 /// After the signal to stop, new connections still come for up to 0.4 s.
 const STILL_COMING: Duration = Duration::from_millis(500);
 /// How much longer than its longest command a router may take to stop.
 const LAST_WORDS: Duration = Duration::from_millis(600);
+/// The last part of that, in which the last answers are written.
+const WRITTEN: Duration = Duration::from_millis(150);
 /// While no descriptor is free, nothing is accepted for this long.
 const PAUSE: Duration = Duration::from_millis(1);
 const SWEEP: Duration = Duration::from_millis(250);
@@ -104,18 +109,19 @@
     }
     hub.tasks.spawn(watch::follow(hub.clone())).detach();
     hub.tasks.spawn(sweep(hub.clone())).detach();
-    if !hub.list.borrow().is_empty() {
-        let held = hub.clone();
-        let first = async move {
-            Timer::after(FIRST_LIST).await;
-            held.ready.raise();
-        };
-        hub.tasks.spawn(first).detach();
-    }
+    hub.tasks.spawn(watch::look(hub.clone())).detach();
+    let first = if hub.list.borrow().is_empty() { NO_LIST } else { FIRST_LIST };
+    let held = hub.clone();
+    let ready = async move {
+        Timer::after(first).await;
+        held.ready.raise();
+    };
+    hub.tasks.spawn(ready).detach();
     let work = async {
         stop.or(accept_all(&hub, &front, &listeners)).await;
         log::info!("asked to stop: {} connections, {} commands", hub.clients.len(), in_hand(&hub));
-        after(STILL_COMING, ()).or(accept_all(&hub, &front, &listeners)).await;
+        // Looked at last before the listeners close: what waits there to be accepted would be reset.
+        accept_all(&hub, &front, &listeners).or(after(STILL_COMING, ())).await;
         drop(listeners);
         hub.clients.close_all();
         let through = async {
@@ -123,7 +129,14 @@
                 Timer::after(PAUSE).await;
             }
         };
-        through.or(after(duration(hub.longest_timeout) + LAST_WORDS - STILL_COMING, ())).await;
+        let limit = duration(hub.longest_timeout) + LAST_WORDS - STILL_COMING;
+        let given_up = async {
+            // A client may wait longer than its command group says: it is answered while there is time to.
+            Timer::after(limit - WRITTEN).await;
+            route::decide(&hub, |router, out| router.stops(out));
+            Timer::after(WRITTEN).await;
+        };
+        through.or(given_up).await;
         hub.report();
         log::info!("stopped with {} commands in hand", in_hand(&hub));
     };
--- a/crates/comethitchd/src/service/watch.rs
+++ b/crates/comethitchd/src/service/watch.rs
@@ -1,147 +1,206 @@
-//! Follows discovery's list.
+//! Follows discovery's list, in two ways that do not depend on each other: a watch, begun anew whenever a line of it is
+//! overdue, and calls for the whole list for as long as no watch tells anything.
+//!
+//! A change counts as told some seconds after discovery had it, whether or not it came here. So whatever a watch may do
+//! (fall silent, never come up, be reset, send parts of a line for ever), the list held is never older than [`OVERDUE`]
+//! and one call: [`look`] asks on, however the watch fares.
 
 use crate::memory::buffer::{Buffer, Room};
-use crate::memory::clock::after;
+use crate::memory::clock::{after, duration};
 use crate::memory::hub::Hub;
 use crate::stages::learn;
-use crate::wire::discovery;
+use crate::wire::discovery::{self, Piece, Pieces};
 use crate::wire::http::{self, Body};
-use async_io::Async;
-use futures_lite::stream::{self, Stream};
-use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
+use async_io::{Async, Timer};
+use futures_lite::{AsyncWriteExt, FutureExt};
 use std::future::Future;
-use std::io;
 use std::net::{SocketAddr, TcpStream};
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// As long as nothing changes, discovery sends an empty line this often.
 const EMPTY_LINES: Duration = Duration::from_secs(2);
-/// It replies at once: what takes longer to come up, or to begin its answer, is tried anew.
+/// A watch whose next line, whole, is late by a quarter of that has fallen silent. Only a line's end counts: parts of
+/// one may come for ever.
+const SILENT: Duration = Duration::from_millis(EMPTY_LINES.as_millis() as u64 * 5 / 4);
+/// Discovery replies at once: a connection, or the head of an answer, that takes longer is given up.
 const AT_ONCE: Duration = Duration::from_millis(750);
 /// The wait before a lost watch is begun anew.
 const AGAIN: Duration = Duration::from_millis(250);
+/// Once no watch has told anything for so long, the whole list is asked for, each [`LOOK`] again.
+const OVERDUE: Duration = Duration::from_millis(EMPTY_LINES.as_millis() as u64 * 3 / 2);
+const LOOK: Duration = Duration::from_millis(500);
 const LARGEST_READ: usize = 64 * 1024;
-const LARGEST_LINE: usize = 8 << 20;
+const CLOSED: &str = "it closed the connection";
 
+/// Follows discovery for ever.
 pub async fn follow(hub: Rc<Hub>) {
     let mut told = false;
     loop {
         let (address, moved) = hub.discovery.borrow().clone();
-        let held = hub.list.borrow().since;
-        let path = match held {
-            Some(since) => format!("/api/targets?follow=1&since={since}"),
-            None => "/api/targets".into(),
-        };
+        let since = hub.list.borrow().since;
+        // Looked at before the watch, so that nothing of one that is left counts any more.
         let left = async {
             moved.raised().await;
-            Err("another one is followed now".into())
+            Err("another one is followed now".to_string())
+        };
+        let step = async {
+            match since {
+                Some(since) => watch(&hub, address, since).await,
+                None => whole(&hub, address).await.inspect(|()| hub.heard.set(hub.clock.now())),
+            }
         };
-        match watch(&hub, address, &path).or(left).await {
+        match left.or(step).await {
             // The whole list is held now, or what a watch tells came to its end.
             Ok(()) => told = false,
             // Said once: an agent that is down for long fills no log.
             Err(why) if !told => {
-                log::warn!("discovery {address}: {why}; the list held stays, tried again from {held:?}");
+                log::warn!("discovery {address}: {why}; the list held stays, tried again from {since:?}");
                 told = true;
             }
             Err(_) => {}
         }
         // A list that was just told is followed at once.
-        let pause = if held.is_none() && hub.list.borrow().since.is_some() { Duration::ZERO } else { AGAIN };
+        let pause = if since.is_none() && hub.list.borrow().since.is_some() { Duration::ZERO } else { AGAIN };
         after(pause, ()).or(moved.raised()).await;
     }
 }
 
-/// One request, and what it tells up to the end of its answer.
-async fn watch(hub: &Rc<Hub>, address: SocketAddr, path: &str) -> Result<(), String> {
-    let mut lines = pin!(lines(address, path, &hub.room).await?);
-    while let Some(line) = lines.try_next().await? {
-        if line.trim_ascii().is_empty() {
+/// Asks for the whole list while no watch tells anything.
+pub async fn look(hub: Rc<Hub>) {
+    loop {
+        Timer::after(LOOK).await;
+        // Without a list, whoever follows discovery asks for the whole one already.
+        if hub.list.borrow().since.is_none() || duration(hub.clock.now() - hub.heard.get()) < OVERDUE {
             continue;
         }
-        let listing = discovery::listing(&line, &hub.site.zones)?;
-        for entry in &listing.entries {
-            let (name, dial, lifecycle) = (&entry.name, entry.dial, entry.lifecycle);
-            let heads = if entry.heads { ", primary" } else { "" };
-            log::info!(
-                "list {}: {name} at {dial} is {lifecycle:?}{heads}, group {}",
-                listing.seq,
-                entry.shard
-            );
+        let (address, moved) = hub.discovery.borrow().clone();
+        let left = async {
+            moved.raised().await;
+            Ok(())
+        };
+        match left.or(whole(&hub, address)).await {
+            Ok(()) => log::debug!("no watch tells anything: the whole list was asked for"),
+            Err(why) => log::debug!("discovery {address}: no whole list: {why}"),
+        }
+    }
+}
+
+/// A watch, up to its end: what changes after a version.
+async fn watch(hub: &Rc<Hub>, address: SocketAddr, since: u64) -> Result<(), String> {
+    let path = format!("/api/targets?follow=1&since={since}");
+    let mut answer = Answer::of(address, &path, &hub.room).await?;
+    while let Some(piece) = soon("it has fallen silent", SILENT, answer.piece()).await? {
+        hub.heard.set(hub.clock.now());
+        if let Piece::Object(text) = piece {
+            let held = hub.list.borrow().since;
+            take(hub, &text, held)?;
         }
-        learn::listed(hub, &listing);
-        hub.ready.raise();
     }
     Ok(())
 }
 
-/// Asks discovery, and streams the lines of its answer.
-async fn lines(
-    address: SocketAddr, path: &str, room: &Room,
-) -> Result<impl Stream<Item = Result<Vec<u8>, String>>, String> {
-    let stream = soon("no connection comes up", AT_ONCE, Async::<TcpStream>::connect(address)).await?;
-    let _ = stream.get_ref().set_nodelay(true);
-    let request = http::request(path, &address.to_string());
-    soon("it takes no request", AT_ONCE, (&stream).write_all(&request)).await?;
-    let answer = Answer { stream, buffer: Buffer::new(LARGEST_READ, room), body: None, text: Vec::new() };
-    Ok(stream::try_unfold(answer, |mut answer| async {
-        let line = answer.line().await?;
-        Ok(line.map(|line| (line, answer)))
-    }))
+/// One call for the whole list, which counts only if all of it came.
+async fn whole(hub: &Rc<Hub>, address: SocketAddr) -> Result<(), String> {
+    let before = hub.list.borrow().since;
+    let call = async {
+        let mut answer = Answer::of(address, "/api/targets", &hub.room).await?;
+        let mut text = None;
+        while let Some(piece) = answer.piece().await? {
+            if let Piece::Object(object) = piece {
+                text = Some(object);
+            }
+        }
+        text.ok_or_else(|| "an answer without a list".to_string())
+    };
+    let text = soon("it does not end its answer", AT_ONCE, call).await?;
+    take(hub, &text, before)
+}
+
+/// Takes in an object of the list. `before` is the version held as it was asked for: one that is older than what
+/// another call has brought since then tells of the past.
+fn take(hub: &Rc<Hub>, text: &[u8], before: Option<u64>) -> Result<(), String> {
+    let listing = discovery::listing(text, &hub.site.zones)?;
+    let held = hub.list.borrow().since;
+    let outrun = held != before || !listing.whole;
+    if outrun && held.is_some_and(|held| listing.seq < held) {
+        log::debug!("list {} is older than what is held, {held:?}", listing.seq);
+        return Ok(());
+    }
+    for entry in &listing.entries {
+        let (name, dial, lifecycle) = (&entry.name, entry.dial, entry.lifecycle);
+        let heads = if entry.heads { ", primary" } else { "" };
+        log::info!("list {}: {name} at {dial} is {lifecycle:?}{heads}, group {}", listing.seq, entry.shard);
+    }
+    learn::listed(hub, &listing);
+    hub.ready.raise();
+    Ok(())
 }
 
 /// An answer of discovery as it comes in.
 struct Answer {
     stream: Async<TcpStream>,
     buffer: Buffer,
-    body: Option<Body>,
-    /// What of the body is not yet a line.
-    text: Vec<u8>,
+    body: Body,
+    pieces: Pieces,
 }
 
 impl Answer {
-    /// The next line; the last one need not be ended.
-    async fn line(&mut self) -> Result<Option<Vec<u8>>, String> {
-        loop {
-            if let Some(end) = self.text.iter().position(|b| *b == b'\n') {
-                return Ok(Some(self.text.drain(..=end).collect()));
+    /// Asks, and reads the head of what is answered.
+    async fn of(address: SocketAddr, path: &str, room: &Room) -> Result<Answer, String> {
+        let connect = async { Async::<TcpStream>::connect(address).await.map_err(|e| e.to_string()) };
+        let stream = soon("no connection comes up", AT_ONCE, connect).await?;
+        let _ = stream.get_ref().set_nodelay(true);
+        let request = http::request(path, &address.to_string());
+        let mut buffer = Buffer::new(LARGEST_READ, room);
+        let head = async {
+            (&stream).write_all(&request).await.map_err(|e| e.to_string())?;
+            loop {
+                if let Some(head) = http::head(buffer.unread()).map_err(|e| e.0)? {
+                    return Ok(head);
+                }
+                match buffer.fill(&stream).await.map_err(|e| e.to_string())? {
+                    0 => return Err(CLOSED.to_string()),
+                    _ => continue,
+                }
             }
-            if self.text.len() > LARGEST_LINE {
-                return Err("it sends a line without end".into());
+        };
+        // The whole head at once: one that comes byte by byte for ever is none.
+        let (status, body, length) = soon("its answer does not begin", AT_ONCE, head).await?;
+        if status != 200 {
+            return Err(format!("it answers with status {status}"));
+        }
+        buffer.consume(length);
+        Ok(Answer { stream, buffer, body, pieces: Pieces::default() })
+    }
+
+    /// The next object or empty line; none at the end of the answer.
+    async fn piece(&mut self) -> Result<Option<Piece>, String> {
+        loop {
+            if let Some(piece) = self.pieces.next()? {
+                return Ok(Some(piece));
             }
-            if self.body.as_ref().is_some_and(Body::over) {
-                let rest = std::mem::take(&mut self.text);
-                return Ok(Some(rest).filter(|rest| !rest.is_empty()));
+            if self.body.over() {
+                return if self.pieces.within() { Err("it ends within an object".into()) } else { Ok(None) };
             }
-            let limit = if self.body.is_none() { AT_ONCE } else { EMPTY_LINES * 3 };
-            let read = soon("it has fallen silent", limit, self.buffer.fill(&self.stream)).await?;
-            if self.body.is_none()
-                && let Some((status, body, length)) = http::head(self.buffer.unread()).map_err(|e| e.0)?
-            {
-                if status != 200 {
-                    return Err(format!("it answers with status {status}"));
-                }
-                self.buffer.consume(length);
-                self.body = Some(body);
+            let taken = self.body.take(self.buffer.unread(), self.pieces.text()).map_err(|e| e.0)?;
+            self.buffer.consume(taken);
+            if taken > 0 {
+                continue;
             }
-            match &mut self.body {
-                Some(Body::UntilClosed) if read == 0 => self.body = Some(Body::Length(0)),
-                _ if read == 0 => return Err("it closed the connection".into()),
-                Some(body) => {
-                    let taken = body.take(self.buffer.unread(), &mut self.text).map_err(|e| e.0)?;
-                    self.buffer.consume(taken);
-                }
-                None => {}
+            // A reset is an error here and no end.
+            match self.buffer.fill(&self.stream).await.map_err(|e| e.to_string())? {
+                0 if self.body == Body::UntilClosed => self.body = Body::Length(0),
+                0 => return Err(CLOSED.into()),
+                _ => {}
             }
         }
     }
 }
 
-/// Each step of a watch has a limit.
+/// Each step has a limit.
 async fn soon<T>(
-    late: &'static str, limit: Duration, step: impl Future<Output = io::Result<T>>,
+    late: &'static str, limit: Duration, step: impl Future<Output = Result<T, String>>,
 ) -> Result<T, String> {
-    step.or(after(limit, Err(io::Error::other(late)))).await.map_err(|e| e.to_string())
+    step.or(after(limit, Err(late.into()))).await
 }
--- a/crates/comethitchd/src/wire/discovery.rs
+++ b/crates/comethitchd/src/wire/discovery.rs
@@ -35,7 +35,93 @@
     Host { address: [a, b, c, d], port: folded }
 }
 
-/// Reads one line of a watch; `zones` are the names of the zones in the order of the settings.
+/// What discovery's text is made of.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Piece {
+    Object(Vec<u8>),
+    /// The end of a line outside of any object: a sign of life.
+    LineEnd,
+}
+
+/// An object that is longer than this has no end.
+const LARGEST_OBJECT: usize = 4 << 20;
+
+/// Cuts text into objects and line ends as it comes in, however the objects are laid out: one may be indented over many
+/// lines, or two stand on one.
+///
+/// ```
+/// use comethitchd::wire::discovery::{Piece, Pieces};
+/// let mut pieces = Pieces::default();
+/// pieces.text().extend(b"{\n  \"a\": [\"}\"]\n}\n\n{");
+/// assert_eq!(pieces.next(), Ok(Some(Piece::Object(b"{\n  \"a\": [\"}\"]\n}".to_vec()))));
+/// assert_eq!(pieces.next(), Ok(Some(Piece::LineEnd)));
+/// assert_eq!(pieces.next(), Ok(Some(Piece::LineEnd)));
+/// assert_eq!(pieces.next(), Ok(None));
+/// assert!(pieces.within(), "an object has begun");
+/// ```
+#[derive(Debug, Default)]
+pub struct Pieces {
+    text: Vec<u8>,
+    /// Where what is not given out yet begins, and up to where it is looked at; and where in an object that is.
+    start: usize,
+    at: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Pieces {
+    /// Where text that has come is added, at its end.
+    pub fn text(&mut self) -> &mut Vec<u8> {
+        &mut self.text
+    }
+
+    /// Whether an object has begun and not ended.
+    pub fn within(&self) -> bool {
+        self.depth > 0
+    }
+
+    /// The next piece that is whole.
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Result<Option<Piece>, String> {
+        while let Some(byte) = self.text.get(self.at).copied() {
+            self.at += 1;
+            if self.quoted {
+                self.quoted = self.escaped || byte != b'"';
+                self.escaped = !self.escaped && byte == b'\\';
+                continue;
+            }
+            match byte {
+                b'{' => self.depth += 1,
+                b'[' if self.within() => self.depth += 1,
+                b'}' | b']' if self.within() => {
+                    self.depth -= 1;
+                    if !self.within() {
+                        let object = self.text[self.start..self.at].to_vec();
+                        self.start = self.at;
+                        return Ok(Some(Piece::Object(object)));
+                    }
+                }
+                b'"' if self.within() => self.quoted = true,
+                _ if self.within() => {}
+                b'\n' => {
+                    self.start = self.at;
+                    return Ok(Some(Piece::LineEnd));
+                }
+                byte if byte.is_ascii_whitespace() => self.start = self.at,
+                _ => return Err("the list is no JSON object".into()),
+            }
+        }
+        self.text.drain(..self.start);
+        (self.at, self.start) = (self.at - self.start, 0);
+        match self.text.len() > LARGEST_OBJECT {
+            true => Err("it sends an object without end".into()),
+            false => Ok(None),
+        }
+    }
+}
+
+/// Reads one object of the list; `zones` are the names of the zones in the order of the settings.
 pub fn listing(text: &[u8], zones: &[String]) -> Result<Listing, String> {
     let value: Value = serde_json::from_slice(text).map_err(|e| format!("the list is no JSON: {e}"))?;
     listing_of(&value, zones)
--- /dev/null
+++ b/crates/comethitchd/tests/endings.rs
@@ -0,0 +1,372 @@
+//! The instants in which something is still owed as something else ends: clients that go, routers that stop,
+//! connections that close. `docs/endings.md` lists them, each with its test.
+
+mod support;
+
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use serde_json::Value;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::mpsc::channel;
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+use support::*;
+
+/// What begins for a client longer than this after it has gone is a break.
+const GONE: Duration = Duration::from_millis(100);
+/// How much later than it should be something is seen on a busy machine.
+const BUSY: Duration = Duration::from_millis(400);
+
+fn answer(value: &str) -> Act {
+    Act::Answer(row(value.as_bytes()))
+}
+
+fn alone(primary: &Host) -> Router {
+    Router::start(site(&[entry("p", primary.address, true, "ready")], None, 1024))
+}
+
+fn queries(host: &Host) -> usize {
+    host.met.try_iter().filter(|met| matches!(met, Met::Query(_))).count()
+}
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug)]
+enum Going {
+    Closes,
+    /// It ends its sending, and would go on reading.
+    HalfCloses,
+    Resets,
+}
+
+impl Going {
+    const ALL: [Going; 3] = [Going::Closes, Going::HalfCloses, Going::Resets];
+
+    /// What is returned keeps a half closed connection.
+    fn go(self, client: Client) -> Option<Client> {
+        match self {
+            Going::Closes => None,
+            Going::HalfCloses => {
+                client.0.shutdown(Shutdown::Write).expect("half closed");
+                Some(client)
+            }
+            Going::Resets => {
+                rustix::net::sockopt::set_socket_linger(&client.0, Some(Duration::ZERO)).expect("an option");
+                None
+            }
+        }
+    }
+}
+
+/// Commands enough that the router stops reading before the end of the connection can be read.
+fn many(from: u32) -> Vec<u8> {
+    (from..from + 400).flat_map(|id| query(&write(id, 5_000))).collect()
+}
+
+#[test]
+fn a_client_that_goes_behind_pipelined_commands_has_gone() {
+    for going in Going::ALL {
+        let primary = host(true, |_, _| Act::Silence);
+        let router = alone(&primary);
+        let mut client = Client::connect(router.address);
+        client.0.write_all(&query(&write(1, 5_000))).expect("sent");
+        assert!(matches!(primary.next(), Met::Query(_)), "the first is out");
+        client.0.write_all(&many(2)).expect("sent");
+        let (gone, _held) = (Instant::now(), going.go(client));
+        assert_eq!(primary.next(), Met::Ended, "{going:?}: the first is called off");
+        let took = gone.elapsed();
+        assert!(took < GONE + BUSY, "{going:?}: only after {took:?}");
+        // Whoever comes next is served at once: none of the four hundred was begun.
+        router.wait();
+        assert_eq!(queries(&primary), 0, "{going:?}");
+    }
+}
+
+#[test]
+fn a_command_read_after_its_client_has_gone_is_not_begun() {
+    for going in Going::ALL {
+        let primary = host(true, |_, _| answer("value"));
+        let all = site(&[entry("p", primary.address, true, "ready")], None, 1024);
+        let program = Program::start(&format!("read-late-{going:?}"), &all);
+        let mut first = Client::connect(program.address);
+        assert_eq!(first.ask(&write(1, 5_000)), Got::Value(b"value".to_vec()));
+        let mut open = Client::connect(program.address);
+        // All of it waits in the system until the router goes on.
+        program.signal("STOP");
+        let mut new = Client::raw(program.address);
+        new.0.write_all(&[startup(), query(&write(2, 5_000))].concat()).expect("sent");
+        open.0.write_all(&query(&write(3, 5_000))).expect("sent");
+        let _held = [going.go(new), going.go(open)];
+        sleep(GONE);
+        program.signal("CONT");
+        assert_eq!(first.ask(&write(4, 5_000)), Got::Value(b"value".to_vec()));
+        program.signal("TERM");
+        program.ends();
+        let met: Vec<Met> = primary.met.try_iter().collect();
+        let begun = |id: u32| {
+            met.iter().any(|met| matches!(met, Met::Query(text) if text.contains(&format!("id={id},"))))
+        };
+        assert!(begun(1) && begun(4) && !begun(2) && !begun(3), "{going:?}: {met:?}");
+    }
+}
+
+/// A host that takes connections and greets none before it is told to; what it is then sent.
+fn greets_late() -> (std::net::SocketAddr, std::sync::mpsc::Sender<()>, std::sync::mpsc::Receiver<Vec<u8>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (greet, greeted) = channel::<()>();
+    let (tell, told) = channel();
+    spawn(move || {
+        let mut held: Vec<TcpStream> = Vec::new();
+        listener.set_nonblocking(true).expect("an option");
+        while greeted.try_recv().is_err() {
+            held.extend(listener.accept().ok().map(|(stream, _)| stream));
+            sleep(Duration::from_millis(2));
+        }
+        for mut stream in held {
+            stream.set_nonblocking(false).expect("an option");
+            stream.set_read_timeout(Some(Duration::from_millis(300))).expect("a limit");
+            let _ = stream.write_all(&[message(b'R', &[0; 4]), ready()].concat());
+            let (mut all, mut some) = (Vec::new(), [0; 4096]);
+            while let Ok(length @ 1..) = stream.read(&mut some) {
+                all.extend(&some[..length]);
+            }
+            let _ = tell.send(all);
+        }
+    });
+    (address, greet, told)
+}
+
+#[test]
+fn a_connection_that_comes_up_after_its_client_has_gone_carries_no_command() {
+    for (going, cancel) in Going::ALL.into_iter().flat_map(|going| [(going, true), (going, false)]) {
+        let (address, greet, told) = greets_late();
+        let mut all = site(&[entry("p", address, true, "ready")], None, 1024);
+        all["settings"]["permissions"]["cancel"] = cancel.into();
+        all["settings"]["permissions"]["connect_timeout_us"] = 3_000_000.into();
+        let router = Router::start(all);
+        let mut client = Client::connect(router.address);
+        client.0.write_all(&query(&write(1, 5_000))).expect("sent");
+        // The router knocks for the command, and probes: both have their startup message out before it goes.
+        sleep(GONE);
+        let _held = going.go(client);
+        sleep(GONE * 2);
+        greet.send(()).expect("told");
+        let sent: Vec<Vec<u8>> = told.iter().collect();
+        assert!(!sent.is_empty(), "it was knocked at");
+        let begun = sent.iter().any(|bytes| String::from_utf8_lossy(bytes).contains("id=1,"));
+        assert!(!begun, "{going:?}, cancel {cancel}");
+        router.wait();
+    }
+}
+
+/// Waits until the other side has ended its sending, and reads nothing.
+fn ended(stream: &TcpStream) {
+    let mut asked = [PollFd::new(stream, PollFlags::RDHUP)];
+    let limit = Timespec { tv_sec: LONG.as_secs() as i64, tv_nsec: 0 };
+    assert_eq!(poll(&mut asked, Some(&limit)), Ok(1), "the router closes");
+}
+
+#[test]
+fn bytes_that_cross_the_close_of_a_resting_connection_reset_nothing_and_are_not_carried_out() {
+    let primary = host(true, |nth, _| answer(&format!("value {nth}")));
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    // Its last answer waits unread, and the next command comes in the moment in which it is closed.
+    client.0.write_all(&query(&write(1, 5_000))).expect("sent");
+    assert!(matches!(primary.next(), Met::Query(_)));
+    router.ask_to_stop();
+    ended(&client.0);
+    client.0.write_all(&query(&write(2, 5_000))).expect("sent");
+    assert_eq!(client.got(), Got::Value(b"value 0".to_vec()));
+    let end = client.0.read(&mut [0]);
+    assert!(matches!(end, Ok(0)), "an end and no reset: {end:?}");
+    router.wait();
+    assert_eq!(queries(&primary), 0, "what crossed the close is the client's to send again");
+}
+
+#[test]
+fn a_client_that_sends_on_and_on_holds_no_router_up_and_loses_no_answer() {
+    let primary = host(true, |nth, _| answer(&format!("value {nth}")));
+    let all = site(&[entry("p", primary.address, true, "ready")], None, 1024);
+    let program = Program::start("on-and-on", &all);
+    let mut client = Client::connect(program.address);
+    let mut sends = client.0.try_clone().expect("a copy");
+    let sender = spawn(move || {
+        // Four are always ahead of their answers, until the connection ends.
+        let mut sent = 0;
+        while sends.write_all(&query(&write(sent, 5_000))).is_ok() && sent < 100_000 {
+            sent += 1;
+            sleep(Duration::from_millis(1));
+        }
+    });
+    for nth in 0..50 {
+        assert_eq!(client.got(), Got::Value(format!("value {nth}").into_bytes()));
+    }
+    program.signal("TERM");
+    let (mut answered, asked) = (50, Instant::now());
+    loop {
+        match client.got() {
+            Got::Value(value) => assert_eq!(value, format!("value {answered}").into_bytes()),
+            Got::Closed => break,
+            other => panic!("{other:?}"),
+        }
+        answered += 1;
+    }
+    let took = asked.elapsed();
+    program.ends();
+    sender.join().expect("the sender");
+    assert!(took < Duration::from_secs(2), "the connection ended only {took:?} after the signal");
+    assert_eq!(queries(&primary), answered, "each that was sent on was answered");
+}
+
+#[test]
+fn a_router_that_stops_before_a_host_that_hangs_answers_within_the_short_time_left() {
+    let primary = host(true, |_, _| Act::Silence);
+    let all = site(&[entry("p", primary.address, true, "ready")], None, 1024);
+    let program = Program::start("hangs", &all);
+    let mut clients: Vec<Client> = (0..3).map(|_| Client::connect(program.address)).collect();
+    let began = Instant::now();
+    for (id, client) in clients.iter_mut().enumerate() {
+        let text = if id == 0 { read(1, 300) } else { write(1 + id as u32, 300) };
+        client.0.write_all(&query(&text)).expect("sent");
+    }
+    // A write's last byte is just written, and more are on their way.
+    assert!(matches!(primary.next(), Met::Query(_)));
+    program.signal("TERM");
+    for client in &mut clients {
+        let got = client.got();
+        assert!(matches!(got, Got::Error(_)), "{got:?}");
+        assert!(began.elapsed() < Duration::from_millis(300) + BUSY, "{:?}", began.elapsed());
+    }
+    program.ends();
+}
+
+#[test]
+fn a_client_that_never_reads_holds_no_router_up() {
+    let primary = host(true, |_, _| Act::Answer(row(&[b'x'; 60_000])));
+    let all = site(&[entry("p", primary.address, true, "ready")], None, 1024);
+    let program = Program::start("never-reads", &all);
+    let mut client = Client::connect(program.address);
+    let mut sends = client.0.try_clone().expect("a copy");
+    // Until the system takes no more: both directions are full.
+    sends.set_write_timeout(Some(Duration::from_millis(300))).expect("a limit");
+    let mut sent = 0;
+    while sends.write_all(&query(&write(sent, 5_000))).is_ok() && sent < 10_000 {
+        sent += 1;
+    }
+    let mut other = Client::connect(program.address);
+    assert!(matches!(other.ask(&write(50_000, 5_000)), Got::Value(_)), "another one is served");
+    program.signal("TERM");
+    program.ends();
+    assert!(matches!(client.got(), Got::Value(_)));
+}
+
+/// Whatever a configuration that is read again does to the command groups, a command ends under what it came in under.
+#[test]
+fn a_reload_that_reorders_command_groups_changes_nothing_for_commands_in_hand() {
+    let (tell, go) = channel::<()>();
+    let go = std::sync::Mutex::new(go);
+    let primary = host(true, move |nth, _| {
+        if nth < 2 {
+            go.lock().expect("a turn").recv().expect("told to go on");
+            return Act::Close;
+        }
+        answer("again")
+    });
+    let mut all = site(&[entry("p", primary.address, true, "ready")], None, 1024);
+    let mut program = Program::start("reorders", &all);
+    let (mut writer, mut reader) = (Client::connect(program.address), Client::connect(program.address));
+    writer.0.write_all(&query(&write(1, 5_000))).expect("sent");
+    assert!(matches!(primary.next(), Met::Query(_)));
+    let fresh = read(2, 5_000);
+    reader.0.write_all(&query(&fresh)).expect("sent");
+    assert!(matches!(primary.next(), Met::Query(_)));
+    let settings = &mut all["settings"];
+    settings["classes"].as_array_mut().expect("groups").reverse();
+    for key in ["class_read", "oldest_data_us"] {
+        settings["domain"][key].as_array_mut().expect("a list").reverse();
+    }
+    std::fs::write(&program.file, all.to_string()).expect("written");
+    program.signal("HUP");
+    program.logs("settings.classes has changed");
+    (0..2).for_each(|_| tell.send(()).expect("told"));
+    assert_eq!(writer.got(), Got::Error("40003".into()), "it may have run: it is no read now");
+    assert_eq!(reader.got(), Got::Value(b"again".to_vec()), "it is still a read that may run again");
+    assert_eq!(writer.ask(&write(3, 5_000)), Got::Value(b"again".to_vec()));
+    program.signal("TERM");
+    program.ends();
+}
+
+/// Two routers of two deployments in one process: nothing of one is read by the other.
+#[test]
+fn two_deployments_in_one_process_keep_apart() {
+    let hosts = [host(true, |_, _| answer("one")), host(true, |_, _| answer("two"))];
+    let mut two = site(&[entry("p", hosts[1].address, true, "ready")], None, 1024);
+    let settings = &mut two["settings"];
+    let classes = settings["classes"].as_array_mut().expect("groups");
+    classes.reverse();
+    classes.iter_mut().for_each(|group| {
+        let name = format!("{}-two", group["name"].as_str().expect("a name"));
+        group["name"] = name.into();
+    });
+    for key in ["class_read", "oldest_data_us"] {
+        settings["domain"][key].as_array_mut().expect("a list").reverse();
+    }
+    let routers = [alone(&hosts[0]), Router::start(two)];
+    let mut clients: Vec<Client> = routers.iter().map(|router| Client::connect(router.address)).collect();
+    for id in 0..20 {
+        let other = write(id, 5_000).replace("c=write", "c=write-two");
+        assert_eq!(clients[0].ask(&write(id, 5_000)), Got::Value(b"one".to_vec()));
+        assert_eq!(clients[1].ask(&other), Got::Value(b"two".to_vec()));
+        assert_eq!(clients[0].ask(&other), Got::Error("22023".into()), "no such group here");
+    }
+    routers.into_iter().for_each(Router::wait);
+}
+
+/// Idle clients take every descriptor meant for clients while discovery is down. Clients at work, hosts and discovery
+/// still get theirs, and the list is fresh soon after the return.
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_nobody_else_from_theirs() {
+    let primary = host(true, |_, _| answer("value"));
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut all: Value = site(&[entry("p", primary.address, true, "ready")], None, 64);
+    let address = taken.local_addr().expect("an address");
+    all["discovery"] = address.to_string().into();
+    drop(taken);
+    let mut program = Program::start("filled", &all);
+    let idle: Vec<Client> = (0..200)
+        .map(|nth| {
+            let mut client = Client::raw(program.address);
+            if nth % 2 == 0 {
+                let _ = client.0.write_all(&[startup(), query(&write(1_000 + nth, 9_000))].concat());
+            }
+            client
+        })
+        .collect();
+    for id in 0..20 {
+        let mut client = Client::connect(program.address);
+        assert_eq!(client.ask(&write(id, 5_000)), Got::Value(b"value".to_vec()));
+    }
+    let listener = TcpListener::bind(address).expect("the same address");
+    let back = Instant::now();
+    let hosts = [entry("p", primary.address, true, "ready")];
+    let list = serde_json::json!({"seq": 9, "whole": true, "hosts": hosts}).to_string();
+    spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let line = request(&stream);
+            if line.contains("follow") {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+                spawn(move || (0..20).for_each(|_| sleep(Duration::from_secs(1))));
+            } else {
+                let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+            }
+        }
+    });
+    let limit = program.ends_after(LONG);
+    program.logs("list 9");
+    limit.store(true, std::sync::atomic::Ordering::SeqCst);
+    assert!(back.elapsed() < Duration::from_secs(6), "fresh only after {:?}", back.elapsed());
+    drop(idle);
+    program.signal("TERM");
+    program.ends();
+}
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{JoinHandle, spawn};
 use std::time::{Duration, SystemTime};
@@ -194,6 +195,19 @@
         assert!(sent.expect("a signal").success());
     }
 
+    /// Kills it after so long, unless the flag is set before: a line of its log that never comes then fails the test.
+    pub fn ends_after(&self, limit: Duration) -> Arc<AtomicBool> {
+        let (id, done) = (self.child.id().to_string(), Arc::new(AtomicBool::new(false)));
+        let asked = done.clone();
+        spawn(move || {
+            std::thread::sleep(limit);
+            if !asked.load(SeqCst) {
+                let _ = std::process::Command::new("kill").args(["-9", &id]).status();
+            }
+        });
+        done
+    }
+
     pub fn logs(&mut self, wanted: &str) {
         self.log.find(|line| line.contains(wanted)).expect(wanted);
     }
