--- /dev/null
+++ b/crates/comethitch-lab/src/ledger/tests.rs
@@ -0,0 +1,55 @@
+//! Tests of `ledger`.
+
+use super::*;
+
+fn after(plant: impl Fn(&mut Ledger)) -> Vec<String> {
+    let mut ledger = Ledger::new(Span(100), Span(40), Time(0));
+    ledger.taken(1, (1, Time(0)), true, Time(1000));
+    ledger.sent(1, Time(10));
+    ledger.may_run(1);
+    plant(&mut ledger);
+    ledger.close(Time(5000), &|_, _| true).broken
+}
+
+#[test]
+fn each_planted_break_is_found_and_a_clean_course_has_none() {
+    let answer = |l: &mut Ledger, at| l.answered(1, Time(at), Answer::Answered);
+    assert_eq!(after(|l| answer(l, 50)), Vec::<String>::new());
+    let found = |plant: &dyn Fn(&mut Ledger), what: &str| {
+        let broken = after(plant);
+        assert!(broken.iter().any(|text| text.contains(what)), "{what}: {broken:?}");
+    };
+    found(&|_| (), "no final answer");
+    found(&|l| answer(l, 1001), "its time was");
+    found(&|l| (0..2).for_each(|_| answer(l, 50)), "two final answers");
+    found(
+        &|l| {
+            answer(l, 50);
+            l.sent(1, Time(60))
+        },
+        "after its final answer",
+    );
+    found(&|l| l.sent(1, Time(60)), "sent again");
+    found(&|l| l.may_run(1), "ran twice");
+    let drained = |l: &mut Ledger, at| {
+        l.drains(3, 7, Time(10));
+        l.drains(3, 7, Time(45));
+        l.sent_to(2, 3, 7, Time(at));
+        answer(l, 90);
+    };
+    found(&|l| drained(l, 51), "which router 3 knew drains");
+    assert_eq!(after(|l| drained(l, 50)), Vec::<String>::new(), "within the grace it may");
+    found(&|l| l.answered(1, Time(50), Answer::Throttled), "was throttled");
+    let unsent = after(|l| {
+        l.never_ran(1);
+        l.sent(1, Time(60));
+        l.may_run(1);
+        answer(l, 90)
+    });
+    assert_eq!(unsent, Vec::<String>::new(), "what surely did not run may go again");
+    let mut refused = Ledger::new(Span(100), Span(40), Time(0));
+    refused.asked((1, Time(0)));
+    let report = refused.close(Time(5000), &|_, _| true);
+    assert_eq!((report.asked, report.in_time), (1, 0.0), "no router took it, and it counts");
+    assert_eq!(after(|l| l.void(1)), Vec::<String>::new(), "a killed router owes nothing");
+}
