Rename: circle becomes subset, the field's own word for it

Cause: 'circle' hid a standard concept; the field calls the few backends that one client uses its subset.

--- a/crates/comethitch-fleet/src/share.rs
+++ b/crates/comethitch-fleet/src/share.rs
@@ -9,8 +9,8 @@
 use crate::drawn;
 use comethitch_time::{Span, Time};
 
-/// How many routers use a host that `reach` of them (0 to 1) have in their circles: one standard deviation above
-/// the mean, as the draw of circles can fall that way.
+/// How many routers use a host that `reach` of them (0 to 1) have in their subsets: one standard deviation above
+/// the mean, as the draw of subsets can fall that way.
 ///
 /// ```
 /// use comethitch_fleet::share::sharers;
--- a/crates/comethitch-fleet/src/circle/tests.rs
+++ b/crates/comethitch-fleet/src/subset/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of `circle`.
+//! Tests of `subset`.
 
 use super::*;
 
@@ -8,12 +8,12 @@
     (0..hosts).map(|key| Candidate { at: key as usize, key, weight: 1.0 })
 }
 
-fn numbers(circle: &[Member]) -> Vec<usize> {
-    circle.iter().map(|member| member.at).collect()
+fn numbers(subset: &[Member]) -> Vec<usize> {
+    subset.iter().map(|member| member.at).collect()
 }
 
 #[test]
-fn every_host_is_in_circles_by_its_weight() {
+fn every_host_is_in_subsets_by_its_weight() {
     let weight = |key: u64| [1.0, 2.0, 0.25][key as usize % 3];
     let mut held = [0.0; 24];
     for salt in 0..4000 {
@@ -36,24 +36,24 @@
 }
 
 #[test]
-fn circles_drift_one_member_at_a_time_and_none_lasts() {
+fn subsets_drift_one_member_at_a_time_and_none_lasts() {
     let mut now = Time(0);
     let first = numbers(&draw(9, now, DRIFT, 3, even(20)));
     let (mut before, mut changes) = (first.clone(), 0);
     for _ in 0..3000 {
         now = now + DRIFT / 1000;
-        let circle = numbers(&draw(9, now, DRIFT, 3, even(20)));
-        let new = circle.iter().filter(|at| !before.contains(at)).count();
-        assert!(new <= 1, "{before:?} to {circle:?}");
+        let subset = numbers(&draw(9, now, DRIFT, 3, even(20)));
+        let new = subset.iter().filter(|at| !before.contains(at)).count();
+        assert!(new <= 1, "{before:?} to {subset:?}");
         changes += new;
-        before = circle;
+        before = subset;
     }
     assert!((6..=24).contains(&changes), "{changes} in three drifts");
     assert_ne!(first, before);
 }
 
 #[test]
-fn a_circle_that_holds_all_draws_by_weight_and_a_small_one_evenly() {
+fn a_subset_that_holds_all_draws_by_weight_and_a_small_one_evenly() {
     let two = |n: u64| (0..n).map(|key| Candidate { at: key as usize, key, weight: 1.0 + key as f64 });
     let all = draw(1, Time(0), DRIFT, 3, two(2));
     assert!(all.iter().all(|m| m.reach == 1.0 || m.at == 0));
--- a/crates/comethitch/src/policy.rs
+++ b/crates/comethitch/src/policy.rs
@@ -11,7 +11,7 @@
     GivenUp, Ramp, Reach, Role, Shard, Standing, chance::Chance, commits::Commits, histogram::Histogram,
 };
 use crate::{command::Command, command::Dispatch, node::Node, time::Span, time::Time};
-use comethitch_fleet::circle::{self, Candidate, Member};
+use comethitch_fleet::subset::{self, Candidate, Member};
 use comethitch_fleet::{leak::Leak, proof, room::Room, share};
 use std::collections::BTreeMap;
 
@@ -191,7 +191,7 @@
         self.nodes.iter_mut().filter(|node| node.gone).for_each(|node| node.leaving = node.leaving.or(told));
         self.forget_gone(out.now());
         // Until something was heard from a host, all routers together put no more there than the longest
-        // target's work: one that comes into many circles is else filled for seconds before any is late.
+        // target's work: one that comes into many subsets is else filled for seconds before any is late.
         for i in (0..self.nodes.len()).filter(|i| self.nodes[*i].heard == Time(0)).collect::<Vec<_>>() {
             self.nodes[i].room.limit = self.longest.scaled(1.0 / self.sharers(i, out.now()));
         }
@@ -400,8 +400,8 @@
                 && self.may_send(command, kind, i, now)
         };
         let tried = |i: usize| command.dispatches.iter().any(|d| d.node == i);
-        let circle = self.circle(command.shard, now);
-        let free = circle.iter().filter(|m| !tried(m.at) && open(m.at, m.reach));
+        let subset = self.subset(command.shard, now);
+        let free = subset.iter().filter(|m| !tried(m.at) && open(m.at, m.reach));
         let replicas: Vec<usize> = free.map(|m| m.at).collect();
         let fresh = |i: usize, need| self.fresh_enough(i, need, command.must_see, now);
         let drawn: Vec<usize> = replicas.iter().copied().filter(|i| fresh(*i, kind.need)).collect();
@@ -445,7 +445,7 @@
         // and of room for what waits there and what this router has out there.
         let work = self.work(command.group);
         let part = |i: usize| {
-            let (node, drawn) = (&self.nodes[i], circle.iter().find(|m| m.at == i).map_or(0.0, |m| m.draw));
+            let (node, drawn) = (&self.nodes[i], subset.iter().find(|m| m.at == i).map_or(0.0, |m| m.draw));
             let crowd = (1.0 + node.queue) * (1.0 + node.room.load.over(work));
             drawn / crowd.powi(2) / node.pace.slowness()
         };
@@ -532,7 +532,7 @@
     }
 
     /// Beyond the design: the replicas that this router uses, few enough to know them well.
-    fn circle(&self, shard: Shard, now: Time) -> Vec<Member> {
+    fn subset(&self, shard: Shard, now: Time) -> Vec<Member> {
         let group = &self.groups[&shard];
         // One that was just told to be too far behind gives way too, until it is time to ask again.
         let behind = |node: &Node| now - node.lag_told < SILENCE && node.lag > self.tightest;
@@ -544,15 +544,15 @@
             Candidate { at, key: host.number(), weight: power * self.warmth(at, now) }
         };
         let all = group.nodes.iter().copied().filter(|i| !apart(*i)).map(candidate);
-        circle::draw(self.salt, now, self.deployment.ramp.within * 8, self.size(group, now), all)
+        subset::draw(self.salt, now, self.deployment.ramp.within * 8, self.size(group, now), all)
     }
 
     fn size(&self, group: &Group, now: Time) -> usize {
         let lasts = proof::lasts(self.tightest, PROBE_AGAIN);
-        circle::size(group.asked.each(now, PROBE_IDLE) * lasts.over(PROBE_IDLE))
+        subset::size(group.asked.each(now, PROBE_IDLE) * lasts.over(PROBE_IDLE))
     }
 
-    /// How many routers use a host: all a primary, of other hosts the part that has it in its circle.
+    /// How many routers use a host: all a primary, of other hosts the part that has it in its subset.
     fn sharers(&self, i: usize, now: Time) -> f64 {
         let group = &self.groups[&self.nodes[i].shard];
         let size = self.size(group, now) as f64;
@@ -560,7 +560,7 @@
         share::sharers(self.deployment.ramp.routers, reach.min(1.0))
     }
 
-    /// Asks for what a read needs: the proofs of its circle that run out before the next could come, or are
+    /// Asks for what a read needs: the proofs of its subset that run out before the next could come, or are
     /// older than what its session has written.
     fn prove(&mut self, shard: Shard, group: usize, must_see: Time, out: &mut dyn Outlet) {
         let now = out.now();
@@ -577,7 +577,7 @@
             }
             _ => return,
         };
-        for Member { at, reach, .. } in self.circle(shard, now) {
+        for Member { at, reach, .. } in self.subset(shard, now) {
             let node = &self.nodes[at];
             let asked = node.probe_sent.is_some() || now < node.prove_next;
             if node.position < proven && !asked && self.has_room(at, reach, group, now) {
