The measure of cold hosts against chance is tripped in its own tests

Cause: the lab's hosts fall at N itself, so that a planted fleet never comes to N and twice its root and two, and the assertion that it does failed (300 simulated routers). Change: the fault is planted at the host (many commands of little work) and at the ledger; the trials still assert that the measure stays at 1 or less, and that hosts fall where nobody budgets.

--- a/crates/comethitch-lab/src/hosts/tests.rs
+++ b/crates/comethitch-lab/src/hosts/tests.rs
@@ -33,3 +33,17 @@
     let mut warm = Box::new(Host::default(), 0, 1, false, 100);
     assert!((0..50).all(|nth| warm.arrive(job(nth), &COLD, Time(1_000_000)) != Arrived::Dead));
 }
+
+#[test]
+fn more_commands_than_chance_allows_are_seen_also_where_their_work_is_little() {
+    // 2.5 * 0.2 * 1.5 s of mean work are 7.5 commands: past 7.5 + 2 * 2.74 + 2 it is no chance.
+    let crowd = |commands: u16| {
+        let mut host = Box::new(Host::default(), 0, 1, false, 100);
+        host.started = Some(Time(1_000_000));
+        let small = |nth| Job { work: Span(100), ..job(nth) };
+        (0..commands).for_each(|nth| drop(host.arrive(small(nth), &COLD, Time(1_000_000))));
+        (host.crowd, host.fallen)
+    };
+    assert!(crowd(14).0 <= 1.0 && crowd(15).0 > 1.0, "{:?} {:?}", crowd(14), crowd(15));
+    assert!(!crowd(15).1, "its work alone pushes nothing over");
+}
--- a/crates/comethitch-lab/src/ledger/tests.rs
+++ b/crates/comethitch-lab/src/ledger/tests.rs
@@ -21,6 +21,8 @@
     };
     found(&|_| (), "no final answer");
     found(&|l| answer(l, 1001), "its time was");
+    found(&|l| l.crowded(3, 0.9, 1.1), "counts as chance");
+    assert_eq!(after(|l| (answer(l, 50), l.crowded(3, 0.0, 1.0)).0), Vec::<String>::new());
     found(&|l| (0..2).for_each(|_| answer(l, 50)), "two final answers");
     found(
         &|l| {
--- a/crates/comethitch-lab/tests/fleet.rs
+++ b/crates/comethitch-lab/tests/fleet.rs
@@ -56,10 +56,10 @@
         let report = kept(&Trial { seed, ..trial.clone() });
         assert!(report.cold_most > 0.0 && report.cold_most <= 1.0, "seed {seed}: {report}");
     }
-    // The measure trips where nobody budgets.
+    // Where nobody budgets hosts fall over, which here they do at N itself: the measure's own fault is planted in its
+    // own tests.
     let planted = perfect(&trial);
-    assert!(planted.cold_most > 1.0, "{planted}");
-    assert!(planted.broken.iter().any(|what| what.contains("counts as chance")), "{planted}");
+    assert!(planted.broken.iter().any(|what| what.starts_with("cold")), "{planted}");
 }
 
 #[test]
--- a/crates/comethitchd/tests/fleet.rs
+++ b/crates/comethitchd/tests/fleet.rs
@@ -71,7 +71,6 @@
     // Told that it is alone, each router takes the whole of what a cold host bears.
     let broken = without(&trial, "siblings", 1.into()).broken;
     assert!(broken.iter().any(|what| what.starts_with("cold")), "{broken:?}");
-    assert!(broken.iter().any(|what| what.contains("counts as chance")), "{broken:?}");
 }
 
 #[test]
