--- a/crates/comethitch-standin/src/client.rs
+++ b/crates/comethitch-standin/src/client.rs
@@ -1,6 +1,6 @@
-//! A client of either tongue.
+//! A client of either protocol.
 
-use crate::{LONG, Tongue, postgres, tds};
+use crate::{LONG, Protocol, postgres, tds};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -22,29 +22,29 @@
 }
 
 pub struct Client {
-    tongue: Tongue,
+    protocol: Protocol,
     pub stream: TcpStream,
 }
 
 impl Client {
     /// Connects and is let in.
-    pub fn connect(tongue: Tongue, address: SocketAddr) -> Client {
+    pub fn connect(protocol: Protocol, address: SocketAddr) -> Client {
         let mut stream = TcpStream::connect(address).expect("a connection");
         stream.set_read_timeout(Some(LONG)).expect("a limit");
         let _ = stream.set_nodelay(true);
-        match tongue {
-            Tongue::Postgres => postgres::open(&mut stream),
-            Tongue::Tds => tds::open(&mut stream),
+        match protocol {
+            Protocol::Postgres => postgres::open(&mut stream),
+            Protocol::Tds => tds::open(&mut stream),
         }
         .expect("let in");
-        Client { tongue, stream }
+        Client { protocol, stream }
     }
 
     /// Sends a command. That the connection is closed shows with the next answer.
     pub fn send(&mut self, text: &str) {
-        let wire = match self.tongue {
-            Tongue::Postgres => postgres::put(text),
-            Tongue::Tds => tds::put(text),
+        let wire = match self.protocol {
+            Protocol::Postgres => postgres::put(text),
+            Protocol::Tds => tds::put(text),
         };
         if let Err(error) = self.stream.write_all(&wire) {
             let closed = matches!(error.kind(), ErrorKind::BrokenPipe | ErrorKind::ConnectionReset);
@@ -54,9 +54,9 @@
 
     /// The next answer.
     pub fn got(&mut self) -> Got {
-        match self.tongue {
-            Tongue::Postgres => postgres::got(&mut self.stream),
-            Tongue::Tds => tds::got(&mut self.stream),
+        match self.protocol {
+            Protocol::Postgres => postgres::got(&mut self.stream),
+            Protocol::Tds => tds::got(&mut self.stream),
         }
     }
 
--- a/crates/comethitch-standin/src/engine.rs
+++ b/crates/comethitch-standin/src/engine.rs
@@ -1,7 +1,7 @@
 //! A database host: one engine, whatever is spoken with it.
 
 use crate::ledger::{Entry, Ledger};
-use crate::{LONG, Tongue, writes};
+use crate::{LONG, Protocol, writes};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -133,7 +133,7 @@
 
 impl Host {
     /// Starts one. It answers each command until it is told otherwise.
-    pub fn start(name: &str, tongue: Tongue, primary: bool, ledger: &Ledger) -> Host {
+    pub fn start(name: &str, protocol: Protocol, primary: bool, ledger: &Ledger) -> Host {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let (tell, came) = channel();
@@ -159,7 +159,7 @@
                 engine.connections.fetch_add(1, Ordering::SeqCst);
                 let copy = stream.try_clone();
                 engine.open.lock().expect("no panic while it is held").extend(copy);
-                std::thread::spawn(move || serve(tongue, stream, &engine));
+                std::thread::spawn(move || serve(protocol, stream, &engine));
             }
         });
         Host { address, engine, came }
@@ -202,13 +202,13 @@
     }
 }
 
-fn serve(tongue: Tongue, stream: TcpStream, engine: &Engine) {
+fn serve(protocol: Protocol, stream: TcpStream, engine: &Engine) {
     let _ = stream.set_nodelay(true);
     let copy = stream.try_clone();
     // A connection that breaks is the router's own doing, or was asked for.
-    let _: io::Result<()> = match tongue {
-        Tongue::Postgres => crate::postgres::serve(stream, engine),
-        Tongue::Tds => crate::tds::serve(stream, engine),
+    let _: io::Result<()> = match protocol {
+        Protocol::Postgres => crate::postgres::serve(stream, engine),
+        Protocol::Tds => crate::tds::serve(stream, engine),
     };
     // Its copies stay open by themselves.
     if let Ok(copy) = copy {
--- a/crates/comethitch-standin/src/lib.rs
+++ b/crates/comethitch-standin/src/lib.rs
@@ -1,4 +1,4 @@
-//! Stand-ins for what a router meets, for tests and tools: database hosts with one engine and two tongues, clients
+//! Stand-ins for what a router meets, for tests and tools: database hosts with one engine and two protocols, clients
 //! of both, and a ledger that is held against what clients were told. They are written from the protocols'
 //! public specifications and listen on loopback addresses alone.
 //!
@@ -21,13 +21,13 @@
 
 /// What is spoken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Tongue {
+pub enum Protocol {
     Postgres,
     Tds,
 }
 
-impl Tongue {
-    pub const BOTH: [Tongue; 2] = [Tongue::Postgres, Tongue::Tds];
+impl Protocol {
+    pub const BOTH: [Protocol; 2] = [Protocol::Postgres, Protocol::Tds];
 }
 
 /// The key of a command: the first text in single quotes.
--- a/crates/comethitchd/examples/demo.rs
+++ b/crates/comethitchd/examples/demo.rs
@@ -1,7 +1,7 @@
 //! A router between stand-in hosts and clients, with one takeover in the middle: `make demo`.
 
 use async_io::Async;
-use comethitch_standin::{Asked, Client, Got, Host, Ledger, Step, Tongue};
+use comethitch_standin::{Asked, Client, Got, Host, Ledger, Protocol, Step};
 use comethitchd::memory::clock::Clock;
 use comethitchd::memory::site::Site;
 use comethitchd::service::listen;
@@ -21,7 +21,7 @@
     let hosts: Vec<Host> = ["db-1", "db-2", "db-3"]
         .iter()
         .enumerate()
-        .map(|(nth, name)| Host::start(name, Tongue::Postgres, nth == 0, &ledger))
+        .map(|(nth, name)| Host::start(name, Protocol::Postgres, nth == 0, &ledger))
         .collect();
     hosts.iter().for_each(|host| host.script(|_, _| Step::AnswerAfter(Duration::from_millis(3))));
     let listed = |(nth, host): (usize, &Host)| {
@@ -40,10 +40,10 @@
     let router = std::thread::spawn(move || {
         let site = Site::read(&all.to_string(), |_| None).expect("a configuration");
         let site = site.judging(rules).expect("rules");
-        let tongue = listen::Tongue::postgres();
-        let hub = learn::start(site, Clock::start(), tongue.back);
+        let protocol = listen::Protocol::postgres();
+        let hub = learn::start(site, Clock::start(), protocol.back);
         let listener = Async::new(listener).expect("a listener");
-        async_io::block_on(listen::serve(hub, tongue.front, vec![listener], async {
+        async_io::block_on(listen::serve(hub, protocol.front, vec![listener], async {
             let _ = stopped.recv().await;
         }));
     });
@@ -54,7 +54,7 @@
         for client in 0..CLIENTS {
             let (over, asked) = (&over, &asked);
             scope.spawn(move || {
-                let mut own = Client::connect(Tongue::Postgres, address);
+                let mut own = Client::connect(Protocol::Postgres, address);
                 for nth in 0.. {
                     if over.load(Ordering::SeqCst) {
                         break;
--- a/crates/comethitchd/examples/fronts.rs
+++ b/crates/comethitchd/examples/fronts.rs
@@ -4,7 +4,7 @@
 //!     cargo run --release -p comethitchd --example fronts
 
 use async_io::Async;
-use comethitch_standin::{Client, Got, Host, Ledger, Tongue};
+use comethitch_standin::{Client, Got, Host, Ledger, Protocol};
 use comethitchd::memory::clock::Clock;
 use comethitchd::memory::site::Site;
 use comethitchd::protocols::tds::ways::Ways;
@@ -34,7 +34,7 @@
     thread: JoinHandle<f64>,
 }
 
-fn router(tongue: Tongue, host: &Host) -> Between {
+fn router(protocol: Protocol, host: &Host) -> Between {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -44,7 +44,7 @@
         "site": "north", "block": 0, "health": "ready", "share": 1.0, "rank": "source", "born_ms": 0}]});
     all["discovery"] = "127.0.0.1:1".into();
     let rules = json!({
-        "dialect": if tongue == Tongue::Tds { "tsql" } else { "postgres" },
+        "dialect": if protocol == Protocol::Tds { "tsql" } else { "postgres" },
         "disagreement": "refuse", "commentless": {"wait_ms": 3000}, "elsewhere": 0,
         "groups": [{"group": "read", "effects": ["read"]},
             {"group": "write", "effects": ["locking_read", "session", "write", "unknown"]}]
@@ -53,15 +53,15 @@
         let site = Site::read(&all.to_string(), |_| None).expect("a configuration");
         let site = site.judging(&rules.to_string()).expect("rules");
         let listener = Async::new(listener).expect("a listener");
-        let tongue = match tongue {
-            Tongue::Postgres => listen::Tongue::postgres(),
-            Tongue::Tds => {
+        let protocol = match protocol {
+            Protocol::Postgres => listen::Protocol::postgres(),
+            Protocol::Tds => {
                 let ways = Ways::read(include_str!("../../../deploy/tds.json")).expect("ways");
-                listen::Tongue::tds(ways, &site).expect("a tongue")
+                listen::Protocol::tds(ways, &site).expect("a protocol")
             }
         };
-        let hub = learn::start(site, Clock::start(), tongue.back);
-        async_io::block_on(listen::serve(hub, tongue.front, vec![listener], async {
+        let hub = learn::start(site, Clock::start(), protocol.back);
+        async_io::block_on(listen::serve(hub, protocol.front, vec![listener], async {
             let _ = stopped.recv().await;
         }));
         cpu()
@@ -111,15 +111,15 @@
 }
 
 /// Has all clients ask at once; the router's CPU for a command, and commands a second.
-fn measured(tongue: Tongue, forwards: bool) -> (f64, f64) {
-    let host = Host::start("p", tongue, true, &Ledger::default());
-    let between = if forwards { forwarder(host.address) } else { router(tongue, &host) };
+fn measured(protocol: Protocol, forwards: bool) -> (f64, f64) {
+    let host = Host::start("p", protocol, true, &Ledger::default());
+    let between = if forwards { forwarder(host.address) } else { router(protocol, &host) };
     let began = Instant::now();
     std::thread::scope(|scope| {
         for client in 0..CLIENTS {
             let address = between.address;
             scope.spawn(move || {
-                let mut asker = Client::connect(tongue, address);
+                let mut asker = Client::connect(protocol, address);
                 for nth in 0..EACH {
                     let key = format!("k{client}-{nth}");
                     let text = format!("INSERT INTO monedas (lector, n) VALUES ('{key}', 1)");
@@ -141,16 +141,16 @@
 fn main() {
     println!("| between clients and host | CPU for a command | commands a second |\n| --- | --- | --- |");
     let ways = [
-        ("a plain forwarder, PostgreSQL", Tongue::Postgres, true),
-        ("a plain forwarder, TDS", Tongue::Tds, true),
-        ("the router, PostgreSQL", Tongue::Postgres, false),
-        ("the router, TDS", Tongue::Tds, false),
+        ("a plain forwarder, PostgreSQL", Protocol::Postgres, true),
+        ("a plain forwarder, TDS", Protocol::Tds, true),
+        ("the router, PostgreSQL", Protocol::Postgres, false),
+        ("the router, TDS", Protocol::Tds, false),
     ];
     // In turns, so that what else the machine does meets all alike.
     let mut taken = vec![Vec::new(); ways.len()];
     for _ in 0..ROUNDS {
-        for (nth, (_, tongue, forwards)) in ways.iter().enumerate() {
-            taken[nth].push(measured(*tongue, *forwards));
+        for (nth, (_, protocol, forwards)) in ways.iter().enumerate() {
+            taken[nth].push(measured(*protocol, *forwards));
         }
     }
     for ((name, ..), taken) in ways.iter().zip(&taken) {
--- a/crates/comethitchd/src/main.rs
+++ b/crates/comethitchd/src/main.rs
@@ -6,7 +6,7 @@
 use comethitchd::memory::site::Site;
 use comethitchd::protocols::tds::ways::Ways;
 use comethitchd::service::classify::Classify;
-use comethitchd::service::listen::{self, Tongue};
+use comethitchd::service::listen::{self, Protocol};
 use comethitchd::service::logger::{self, LogForm};
 use log::LevelFilter;
 use std::path::PathBuf;
@@ -79,13 +79,13 @@
     }
 }
 
-fn tongue(tds: &Option<PathBuf>, site: &Site) -> Result<Tongue, String> {
+fn protocol(tds: &Option<PathBuf>, site: &Site) -> Result<Protocol, String> {
     match tds {
-        Some(path) => Tongue::tds(Ways::load(path)?, site),
+        Some(path) => Protocol::tds(Ways::load(path)?, site),
         None if site.statements.as_ref().is_some_and(|rules| rules.dialect != Dialect::Postgres) => {
             Err("the rules for statements are not of the dialect postgres".into())
         }
-        None => Ok(Tongue::postgres()),
+        None => Ok(Protocol::postgres()),
     }
 }
 
@@ -96,12 +96,12 @@
             logger::start(serve.log, serve.log_form);
             let (path, rules) = (serve.configuration, serve.statements);
             let site = load(&path, &rules)?;
-            let tongue = tongue(&serve.tds, &site)?;
-            listen::run(site, clock, tongue, move || load(&path, &rules))
+            let protocol = protocol(&serve.tds, &site)?;
+            listen::run(site, clock, protocol, move || load(&path, &rules))
         }
         Command::Check(check) => {
             let site = load(&check.configuration, &check.statements)?;
-            tongue(&check.tds, &site)?;
+            protocol(&check.tds, &site)?;
             let (groups, hosts) = (site.groups.len(), site.known.entries.len());
             println!(
                 "{} would listen on {}: {groups} command groups, {hosts} hosts known",
--- a/crates/comethitchd/src/memory/mod.rs
+++ b/crates/comethitchd/src/memory/mod.rs
@@ -10,6 +10,6 @@
 pub mod hub;
 pub mod list;
 pub mod pool;
+pub mod protocol;
 pub mod site;
 pub mod tally;
-pub mod tongue;
--- a/crates/comethitchd/src/protocols/postgres/mod.rs
+++ b/crates/comethitchd/src/protocols/postgres/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::memory::clients::Permit;
 use crate::memory::hub::Hub;
-use crate::memory::tongue::{Back, Front, Serving};
+use crate::memory::protocol::{Back, Front, Serving};
 use async_io::Async;
 use comethitch::time::Span;
 use comethitch::{CommandId, Host};
--- a/crates/comethitchd/src/protocols/sending.rs
+++ b/crates/comethitchd/src/protocols/sending.rs
@@ -6,7 +6,7 @@
 use crate::memory::commands::Statement;
 use crate::memory::connection::{ConnectionEnd, HostConnection};
 use crate::memory::hub::Hub;
-use crate::memory::tongue::Outcome;
+use crate::memory::protocol::Outcome;
 use crate::protocols::flow::Flow;
 use crate::stages::route;
 use async_io::Timer;
--- a/crates/comethitchd/src/protocols/tds/mod.rs
+++ b/crates/comethitchd/src/protocols/tds/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::memory::clients::Permit;
 use crate::memory::hub::Hub;
-use crate::memory::tongue::{Back, Front, Serving};
+use crate::memory::protocol::{Back, Front, Serving};
 use async_io::Async;
 use comethitch::time::Span;
 use comethitch::{CommandId, Host};
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -3,8 +3,8 @@
 use crate::memory::clock::{Clock, after, duration};
 use crate::memory::flag::Flag;
 use crate::memory::hub::Hub;
+use crate::memory::protocol::{Back, Front};
 use crate::memory::site::Site;
-use crate::memory::tongue::{Back, Front};
 use crate::protocols::postgres::Postgres;
 use crate::protocols::tds::Tds;
 use crate::protocols::tds::ways::Ways;
@@ -39,19 +39,19 @@
 const BACKLOG: i32 = 1024;
 
 /// What is spoken with clients and with hosts, and where else clients come.
-pub struct Tongue {
+pub struct Protocol {
     pub front: Rc<dyn Front>,
     pub back: Box<dyn Back>,
     pub also_listen: Vec<SocketAddr>,
 }
 
-impl Tongue {
-    pub fn postgres() -> Tongue {
-        Tongue { front: Rc::new(Postgres), back: Box::new(Postgres), also_listen: Vec::new() }
+impl Protocol {
+    pub fn postgres() -> Protocol {
+        Protocol { front: Rc::new(Postgres), back: Box::new(Postgres), also_listen: Vec::new() }
     }
 
     /// TDS, in the operator's ways. Its statements are judged by their text, so that rules are needed.
-    pub fn tds(ways: Ways, site: &Site) -> Result<Tongue, String> {
+    pub fn tds(ways: Ways, site: &Site) -> Result<Protocol, String> {
         match &site.statements {
             None => return Err("TDS needs rules for statements: give --statements".into()),
             Some(rules) if rules.dialect != Dialect::Tsql => {
@@ -61,13 +61,13 @@
         }
         let also_listen = ways.addresses()?;
         let tds = Tds(Rc::new(ways));
-        Ok(Tongue { front: Rc::new(tds.clone()), back: Box::new(tds), also_listen })
+        Ok(Protocol { front: Rc::new(tds.clone()), back: Box::new(tds), also_listen })
     }
 }
 
 /// Serves until SIGTERM or SIGINT; at SIGHUP the configuration is read again.
 pub fn run(
-    site: Site, clock: Clock, tongue: Tongue, reread: impl Fn() -> Result<Site, String> + 'static,
+    site: Site, clock: Clock, protocol: Protocol, reread: impl Fn() -> Result<Site, String> + 'static,
 ) -> Result<(), String> {
     async_io::block_on(async {
         let mut signals =
@@ -75,9 +75,9 @@
         let bind = |address: &SocketAddr| {
             Async::<TcpListener>::bind(*address).map_err(|e| format!("can't listen on {address}: {e}"))
         };
-        let addresses = std::iter::once(&site.listen).chain(&tongue.also_listen);
+        let addresses = std::iter::once(&site.listen).chain(&protocol.also_listen);
         let listeners = addresses.map(bind).collect::<Result<Vec<_>, String>>()?;
-        let hub = learn::start(site, clock, tongue.back);
+        let hub = learn::start(site, clock, protocol.back);
         let (held, stop) = (hub.clone(), Flag::default());
         let asked = stop.clone();
         // Listened to up to the end: neither signal may end a router that is stopping.
@@ -90,7 +90,7 @@
             }
         };
         hub.tasks.spawn(heard).detach();
-        serve(hub, tongue.front, listeners, stop.raised()).await;
+        serve(hub, protocol.front, listeners, stop.raised()).await;
         Ok(())
     })
 }
--- a/crates/comethitchd/src/stages/learn.rs
+++ b/crates/comethitchd/src/stages/learn.rs
@@ -3,8 +3,8 @@
 use crate::memory::clock::Clock;
 use crate::memory::flag::Flag;
 use crate::memory::hub::Hub;
+use crate::memory::protocol::Back;
 use crate::memory::site::Site;
-use crate::memory::tongue::Back;
 use crate::stages::route::{self, Acts};
 use crate::wire::discovery::Listing;
 use comethitch::Router;
--- a/crates/comethitchd/tests/faults.rs
+++ b/crates/comethitchd/tests/faults.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use comethitch_standin::{Asked, Client, Got, Host, Ledger, Step, Tongue};
+use comethitch_standin::{Asked, Client, Got, Host, Ledger, Protocol, Step};
 use serde_json::{Value, json};
 use std::time::Duration;
 use support::{Router, entry, site};
@@ -20,7 +20,7 @@
 }
 
 struct Scene {
-    tongue: Tongue,
+    protocol: Protocol,
     primary: Host,
     replica: Host,
     router: Router,
@@ -32,9 +32,9 @@
     broken: Vec<String>,
 }
 
-fn rules(tongue: Tongue) -> Value {
+fn rules(protocol: Protocol) -> Value {
     json!({
-        "dialect": if tongue == Tongue::Tds { "tsql" } else { "postgres" },
+        "dialect": if protocol == Protocol::Tds { "tsql" } else { "postgres" },
         "disagreement": "refuse",
         "commentless": {"wait_ms": 900},
         "groups": [
@@ -46,14 +46,14 @@
 }
 
 impl Scene {
-    fn new(tongue: Tongue) -> Scene {
+    fn new(protocol: Protocol) -> Scene {
         let ledger = Ledger::default();
-        let primary = Host::start("p", tongue, true, &ledger);
-        let replica = Host::start("r", tongue, false, &ledger);
+        let primary = Host::start("p", protocol, true, &ledger);
+        let replica = Host::start("r", protocol, false, &ledger);
         let hosts = [entry("p", primary.address, true, "ready"), entry("r", replica.address, false, "ready")];
-        let router = Router::speaking(tongue, site(&hosts, None, 1024), Some(rules(tongue)));
+        let router = Router::speaking(protocol, site(&hosts, None, 1024), Some(rules(protocol)));
         Scene {
-            tongue,
+            protocol,
             primary,
             replica,
             router,
@@ -66,7 +66,7 @@
     }
 
     fn client(&self) -> Client {
-        Client::connect(self.tongue, self.router.address)
+        Client::connect(self.protocol, self.router.address)
     }
 
     fn write(&mut self) -> String {
@@ -301,8 +301,8 @@
     ),
 ];
 
-fn run(tongue: Tongue, play: Play) -> (Counts, Vec<String>) {
-    let mut scene = Scene::new(tongue);
+fn run(protocol: Protocol, play: Play) -> (Counts, Vec<String>) {
+    let mut scene = Scene::new(protocol);
     let mut client = scene.client();
     scene.warm(&mut client);
     play(&mut scene, &mut client);
@@ -339,7 +339,7 @@
     let ran: Vec<[(Counts, Vec<String>); 2]> = std::thread::scope(|scope| {
         let all: Vec<_> = SCENARIOS
             .iter()
-            .map(|(_, play, _)| Tongue::BOTH.map(|tongue| scope.spawn(move || run(tongue, *play))))
+            .map(|(_, play, _)| Protocol::BOTH.map(|protocol| scope.spawn(move || run(protocol, *play))))
             .collect();
         all.into_iter().map(|both| both.map(|one| one.join().expect("no panic"))).collect()
     });
@@ -367,20 +367,20 @@
 
 #[test]
 fn a_large_answer_that_breaks_midway_is_seen_not_to_be_whole_and_not_sent_again() {
-    for tongue in Tongue::BOTH {
+    for protocol in Protocol::BOTH {
         for writes in [true, false] {
-            let mut scene = Scene::new(tongue);
+            let mut scene = Scene::new(protocol);
             let mut client = scene.client();
             scene.warm(&mut client);
             scene.primary.script(once(Step::HugeCut));
             scene.replica.script(once(Step::HugeCut));
             let text = if writes { scene.write() } else { scene.read() };
             let key = comethitch_standin::key(&text).to_string();
-            assert_eq!(client.ask(&text), Got::Closed, "{tongue:?}: the client is told by the end");
+            assert_eq!(client.ask(&text), Got::Closed, "{protocol:?}: the client is told by the end");
             assert_eq!(
                 scene.ledger.dispatches() - scene.before,
                 1,
-                "{tongue:?}: what has begun is the answer"
+                "{protocol:?}: what has begun is the answer"
             );
             assert_eq!(scene.ledger.ran(&key), 1);
             // Another client is served, and nothing of the broken answer reaches it.
@@ -389,7 +389,10 @@
                 let text = scene.write();
                 let wanted = comethitch_standin::key(&text).to_string();
                 let got = other.ask(&text);
-                assert!(got == Got::Answered(wanted) || got == Got::Closed && !writes, "{tongue:?}: {got:?}");
+                assert!(
+                    got == Got::Answered(wanted) || got == Got::Closed && !writes,
+                    "{protocol:?}: {got:?}"
+                );
                 if got == Got::Closed {
                     other = scene.client();
                 }
@@ -403,8 +406,8 @@
 #[test]
 fn a_slow_reader_of_a_large_answer_holds_up_no_other() {
     use std::io::Read;
-    for tongue in Tongue::BOTH {
-        let mut scene = Scene::new(tongue);
+    for protocol in Protocol::BOTH {
+        let mut scene = Scene::new(protocol);
         let mut client = scene.client();
         scene.warm(&mut client);
         scene.primary.script(once(Step::Huge));
@@ -416,14 +419,14 @@
         for _ in 0..20 {
             let text = scene.write();
             let wanted = comethitch_standin::key(&text).to_string();
-            assert_eq!(other.ask(&text), Got::Answered(wanted), "{tongue:?}");
+            assert_eq!(other.ask(&text), Got::Answered(wanted), "{protocol:?}");
         }
         // Then all of it comes.
         let mut left = 2_000_000_usize;
         let mut bytes = vec![0; 64 << 10];
         while left > 0 {
             let length = client.stream.read(&mut bytes).expect("the rest");
-            assert!(length > 0, "{tongue:?}: {left} bytes are missing");
+            assert!(length > 0, "{protocol:?}: {left} bytes are missing");
             left = left.saturating_sub(length);
         }
         drop((client, other));
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use comethitchd::memory::site::Site;
 use comethitchd::protocols::tds::ways::Ways;
 use comethitchd::service::listen;
-use comethitchd::service::listen::Tongue;
+use comethitchd::service::listen::Protocol;
 use comethitchd::stages::learn;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -295,11 +295,11 @@
 
     /// With rules by which statements are judged by their text.
     pub fn judging(site: Value, rules: Option<Value>) -> Router {
-        Router::speaking(comethitch_standin::Tongue::Postgres, site, rules)
+        Router::speaking(comethitch_standin::Protocol::Postgres, site, rules)
     }
 
-    /// The same in either tongue.
-    pub fn speaking(tongue: comethitch_standin::Tongue, site: Value, rules: Option<Value>) -> Router {
+    /// The same in either protocol.
+    pub fn speaking(protocol: comethitch_standin::Protocol, site: Value, rules: Option<Value>) -> Router {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = async_channel::bounded::<()>(1);
@@ -310,15 +310,15 @@
                 None => site,
             };
             let listener = Async::new(listener).expect("a listener");
-            let tongue = match tongue {
-                comethitch_standin::Tongue::Postgres => Tongue::postgres(),
-                comethitch_standin::Tongue::Tds => {
+            let protocol = match protocol {
+                comethitch_standin::Protocol::Postgres => Protocol::postgres(),
+                comethitch_standin::Protocol::Tds => {
                     let ways = Ways::read(include_str!("../../../../deploy/tds.json")).expect("ways");
-                    Tongue::tds(ways, &site).expect("a tongue")
+                    Protocol::tds(ways, &site).expect("a protocol")
                 }
             };
-            let hub = learn::start(site, Clock::start(), tongue.back);
-            async_io::block_on(listen::serve(hub, tongue.front, vec![listener], async {
+            let hub = learn::start(site, Clock::start(), protocol.back);
+            async_io::block_on(listen::serve(hub, protocol.front, vec![listener], async {
                 let _ = stopped.recv().await;
             }));
         });
--- a/crates/comethitchd/tests/tds.rs
+++ b/crates/comethitchd/tests/tds.rs
@@ -5,7 +5,7 @@
 use async_io::Async;
 use comethitch_standin::ledger::Entry;
 use comethitch_standin::tds::{attention, call};
-use comethitch_standin::{Client, Got, Host, Ledger, Step, Tongue};
+use comethitch_standin::{Client, Got, Host, Ledger, Protocol, Step};
 use comethitch_tds::packet::{FIRST_SIZE, Header, Kind, put_message, put_parts, status};
 use comethitch_tds::request::{Batch, CallWriter, Known};
 use comethitch_tds::token::{Token, Tokens};
@@ -40,10 +40,10 @@
 
 fn scene(rules: Value) -> Scene {
     let ledger = Ledger::default();
-    let primary = Host::start("p", Tongue::Tds, true, &ledger);
-    let replica = Host::start("r", Tongue::Tds, false, &ledger);
+    let primary = Host::start("p", Protocol::Tds, true, &ledger);
+    let replica = Host::start("r", Protocol::Tds, false, &ledger);
     let hosts = [entry("p", primary.address, true, "ready"), entry("r", replica.address, false, "ready")];
-    let router = Router::speaking(Tongue::Tds, site(&hosts, None, 1024), Some(rules));
+    let router = Router::speaking(Protocol::Tds, site(&hosts, None, 1024), Some(rules));
     Scene { primary, replica, ledger, router }
 }
 
@@ -52,14 +52,14 @@
     let Scene { primary: _primary, replica: _replica, ledger, router } = scene(rules());
     let rows = include_str!("../../comethitch-statement/tests/corpus/tsql.jsonl").lines();
     let rows: Vec<Value> = rows.map(|line| serde_json::from_str(line).expect(line)).collect();
-    let mut client = Client::connect(Tongue::Tds, router.address);
+    let mut client = Client::connect(Protocol::Tds, router.address);
     for (nth, row) in rows.iter().enumerate() {
         let sql = row["sql"].as_str().expect("sql");
         let claims =
             ["read", "write"].map(|group| format!("/* id={nth}-{group},c={group},d=900,cluster=0 */ {sql}"));
         for text in std::iter::once(sql.to_string()).chain(claims) {
             if client.ask(&text) == Got::Closed {
-                client = Client::connect(Tongue::Tds, router.address);
+                client = Client::connect(Protocol::Tds, router.address);
             }
         }
     }
@@ -133,7 +133,7 @@
 fn an_attention_calls_the_command_off_and_is_acknowledged_once() {
     let Scene { primary, replica: _replica, ledger, router } = scene(rules());
     primary.script(|nth, _| if nth == 0 { Step::HangAfter } else { Step::Answer });
-    let mut client = Client::connect(Tongue::Tds, router.address);
+    let mut client = Client::connect(Protocol::Tds, router.address);
     client.send("INSERT INTO t VALUES ('a')");
     assert!(primary.next().contains("'a'"));
     client.stream.write_all(&attention()).expect("sent");
@@ -181,7 +181,7 @@
 #[test]
 fn prepared_statements_are_kept_by_the_router_and_run_at_any_host() {
     let Scene { primary, replica: _replica, ledger, router } = scene(rules());
-    let mut client = Client::connect(Tongue::Tds, router.address);
+    let mut client = Client::connect(Protocol::Tds, router.address);
     let send = |client: &mut Client, payload: &[u8]| {
         client.stream.write_all(&call(payload)).expect("sent");
         tokens(&mut client.stream)
@@ -232,15 +232,15 @@
 fn a_parameters_value_leads_to_its_group_of_hosts() {
     let ledger = Ledger::default();
     let (first, second) =
-        (Host::start("0", Tongue::Tds, true, &ledger), Host::start("1", Tongue::Tds, true, &ledger));
+        (Host::start("0", Protocol::Tds, true, &ledger), Host::start("1", Protocol::Tds, true, &ledger));
     let mut other = entry("1", second.address, true, "ready");
     other["block"] = 1.into();
     let mut rules = rules();
     rules["keys"] = json!([{"tables": ["facts"], "column": "n",
         "spread": {"range": [{"below": 100, "hosts": 0}, {"hosts": 1}]}}]);
     let hosts = site(&[entry("0", first.address, true, "ready"), other], None, 1024);
-    let router = Router::speaking(Tongue::Tds, hosts, Some(rules));
-    let mut client = Client::connect(Tongue::Tds, router.address);
+    let router = Router::speaking(Protocol::Tds, hosts, Some(rules));
+    let mut client = Client::connect(Protocol::Tds, router.address);
     for (value, host) in [(Some(99), "0"), (Some(100), "1"), (None, "")] {
         let mut payload = Vec::new();
         let statement = "UPDATE facts SET a = 1 WHERE n = @Key";
@@ -305,7 +305,7 @@
     let mut told = Vec::new();
     let _ = stream.read_to_end(&mut told);
     assert_eq!(
-        Client::connect(Tongue::Tds, router.address).ask("INSERT INTO t VALUES ('k')"),
+        Client::connect(Protocol::Tds, router.address).ask("INSERT INTO t VALUES ('k')"),
         Got::Answered("k".into())
     );
     router.wait();
@@ -341,18 +341,18 @@
 #[test]
 fn a_drain_notice_in_the_middle_of_a_batch_lets_it_end_and_keeps_the_next_away() {
     let ledger = Ledger::default();
-    let old = Host::start("old", Tongue::Tds, true, &ledger);
-    let new = Host::start("new", Tongue::Tds, false, &ledger);
+    let old = Host::start("old", Protocol::Tds, true, &ledger);
+    let new = Host::start("new", Protocol::Tds, false, &ledger);
     let discovery = discovery();
     let hosts = [entry("old", old.address, true, "ready"), entry("new", new.address, false, "ready")];
-    let router = Router::speaking(Tongue::Tds, site(&hosts, Some(&discovery), 1024), Some(rules()));
+    let router = Router::speaking(Protocol::Tds, site(&hosts, Some(&discovery), 1024), Some(rules()));
     let (_, mut watch) = discovery.watch();
     let tell = |watch: &mut TcpStream, seq: u64, hosts: Value| {
         send_chunk(watch, &format!("{}\n", json!({"seq": seq, "whole": false, "hosts": hosts})));
     };
     tell(&mut watch, 8, json!([]));
     old.script(|nth, _| if nth == 0 { Step::AnswerAfter(Duration::from_millis(400)) } else { Step::Answer });
-    let mut client = Client::connect(Tongue::Tds, router.address);
+    let mut client = Client::connect(Protocol::Tds, router.address);
     let text = "INSERT INTO t VALUES ('first'); UPDATE u SET n = 1";
     client.send(text);
     // The host runs it now, and will tell so once it has answered: the notice comes in between.
@@ -397,7 +397,7 @@
 #[test]
 fn an_attention_in_the_middle_of_a_takeover_is_acknowledged_and_harms_nothing() {
     let Scene { primary, replica, ledger, router } = scene(rules());
-    let mut client = Client::connect(Tongue::Tds, router.address);
+    let mut client = Client::connect(Protocol::Tds, router.address);
     assert_eq!(client.ask("INSERT INTO t VALUES ('a')"), Got::Answered("a".into()));
     primary.set_down(true);
     // Reads that must be fresh wait for the next primary, or are turned away: some are called off meanwhile.
