--- a/crates/comethitch-lab/src/hosts/tests.rs
+++ b/crates/comethitch-lab/src/hosts/tests.rs
@@ -41,7 +41,9 @@
         let mut host = Box::new(Host::default(), 0, 1, false, 100);
         host.started = Some(Time(1_000_000));
         let small = |nth| Job { work: Span(100), ..job(nth) };
-        (0..commands).for_each(|nth| drop(host.arrive(small(nth), &COLD, Time(1_000_000))));
+        (0..commands).for_each(|nth| {
+            host.arrive(small(nth), &COLD, Time(1_000_000));
+        });
         (host.crowd, host.fallen)
     };
     assert!(crowd(14).0 <= 1.0 && crowd(15).0 > 1.0, "{:?} {:?}", crowd(14), crowd(15));
