A PostgreSQL cancel request ends the command that it names

Change: a key from the system's random numbers for each connection; a request that names both ends the command in hand with 57014 and calls its dispatch off; it does nothing between two commands, nor with another key.

--- a/crates/comethitchd/src/memory/clients.rs
+++ b/crates/comethitchd/src/memory/clients.rs
@@ -4,6 +4,8 @@
 use comethitch::time::{Span, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
 use std::rc::Rc;
 
 /// How many descriptors one kind of connection may use, and how many it does.
@@ -88,7 +90,9 @@
 
     /// Enters a connection; what it returns tells it when to close.
     pub fn enter(&self, now: Time) -> (u32, Rc<Notice>) {
-        let notice = Rc::<Notice>::default();
+        // From the system's own random numbers: nobody else's client may guess it.
+        let key = RandomState::new().build_hasher().finish() as u32;
+        let notice = Rc::new(Notice::with(key));
         let number = self.next.get();
         self.next.set(number.wrapping_add(1));
         let open = Open { stage: Stage::Asking, since: now, notice: notice.clone() };
@@ -96,6 +100,13 @@
         (number, notice)
     }
 
+    /// Cancels the command in hand on a connection, for whoever knows its key.
+    pub fn cancel(&self, number: u32, key: u32) {
+        if let Some(open) = self.open.borrow().get(&number).filter(|open| open.notice.key == key) {
+            open.notice.cancel();
+        }
+    }
+
     pub fn leave(&self, number: u32) {
         self.open.borrow_mut().remove(&number);
     }
--- a/crates/comethitchd/src/memory/commands.rs
+++ b/crates/comethitchd/src/memory/commands.rs
@@ -33,6 +33,8 @@
     Failed,
     /// Failed, and a host's own error tells why.
     FailedBy(Vec<u8>),
+    /// Its client cancelled it: failed.
+    Cancelled,
 }
 
 /// A further part of a value. Without an end it is not whole.
--- a/crates/comethitchd/src/memory/flag.rs
+++ b/crates/comethitchd/src/memory/flag.rs
@@ -44,11 +44,19 @@
 /// costs nothing while nobody asks.
 #[derive(Default)]
 pub struct Notice {
+    /// Whoever knows this may cancel the connection's command.
+    pub key: u32,
     asked: Cell<Close>,
+    /// The command in hand was cancelled.
+    cancel: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Notice {
+    pub fn with(key: u32) -> Notice {
+        Notice { key, ..Notice::default() }
+    }
+
     /// Asks for this much, or for more if that was asked before.
     pub fn ask(&self, close: Close) {
         self.asked.set(self.asked.get().max(close));
@@ -57,14 +65,36 @@
         }
     }
 
+    /// A command begins: what was cancelled before is none of its business.
+    pub fn begins(&self) {
+        self.cancel.set(false);
+    }
+
+    /// Cancels the command in hand, if there is one.
+    pub fn cancel(&self) {
+        self.cancel.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the command that has begun is cancelled.
+    pub async fn cancelled(&self) {
+        self.until(|| self.cancel.get()).await;
+    }
+
     pub fn asked(&self) -> Close {
         self.asked.get()
     }
 
     /// Waits until it is asked for this much.
     pub async fn reaches(&self, close: Close) {
+        self.until(|| self.asked.get() >= close).await;
+    }
+
+    async fn until(&self, come: impl Fn() -> bool) {
         poll_fn(|context| {
-            if self.asked.get() >= close {
+            if come() {
                 return Poll::Ready(());
             }
             let mut waker = self.waker.borrow_mut();
--- a/crates/comethitchd/src/protocols/postgres/take_in.rs
+++ b/crates/comethitchd/src/protocols/postgres/take_in.rs
@@ -10,6 +10,7 @@
 use crate::wire::postgres::{self, LARGEST_MESSAGE, Opening};
 use async_channel::Receiver;
 use async_io::Async;
+use futures_lite::FutureExt;
 use std::future::Future;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -44,7 +45,13 @@
         loop {
             match postgres::opening(self.line.buffer.unread())? {
                 None => self.line.more().await?,
-                Some((Opening::Cancel, _)) => return Err(Stop::Left),
+                Some((Opening::Cancel, length)) => {
+                    // As the protocol has it, whoever asks learns nothing of what comes of it.
+                    if let Some((number, key)) = postgres::cancels(&self.line.buffer.unread()[..length]) {
+                        self.line.hub.clients.cancel(number, key);
+                    }
+                    return Err(Stop::Left);
+                }
                 Some((Opening::Encryption, length)) => {
                     self.line.buffer.consume(length);
                     self.line.write(b"N").await?;
@@ -52,7 +59,7 @@
                 Some((Opening::Startup { minor }, length)) => {
                     self.line.buffer.consume(length);
                     let mut out = Vec::new();
-                    postgres::put_welcome(&mut out, minor, self.line.number);
+                    postgres::put_welcome(&mut out, minor, self.line.number, self.line.notice.key);
                     return self.line.write(&out).await;
                 }
             }
@@ -131,8 +138,19 @@
                 Ok(_) if self.line.has_left() => return Err(Stop::Left),
                 Ok(admitted) => {
                     self.line.hub.clients.turn(self.line.number, Stage::Busy, self.line.hub.clock.now());
+                    let notice = self.line.notice.clone();
+                    notice.begins();
                     let (id, reply) = route::take(&self.line.hub, admitted, text, b'Q');
-                    match self.line.while_here(reply.recv()).await {
+                    let cancelled = async {
+                        notice.cancelled().await;
+                        Ok(Reply::Cancelled)
+                    };
+                    match self.line.while_here(reply.recv().or(cancelled)).await {
+                        Ok(Ok(Reply::Cancelled)) => {
+                            route::left(&self.line.hub, id);
+                            put_reply(&mut out, Reply::Cancelled);
+                            self.line.answered();
+                        }
                         Ok(Ok(Reply::Begun(first, parts))) => {
                             out.extend(first);
                             self.line.write(&out).await?;
@@ -174,6 +192,10 @@
         // Passed on part by part before it comes here.
         Reply::Begun(first, _) => out.extend(first),
         Reply::FailedBy(error) => out.extend(error),
+        Reply::Cancelled => {
+            let text = "cancelled by its client; nothing is known of its effect";
+            postgres::put_error(out, "ERROR", "57014", text, None);
+        }
         Reply::Throttled(retry_after) => {
             let advice = retry_after.map(|after| after.0.div_ceil(1_000).to_string());
             postgres::put_error(
--- a/crates/comethitchd/src/protocols/tds/take_in.rs
+++ b/crates/comethitchd/src/protocols/tds/take_in.rs
@@ -477,7 +477,10 @@
             let text = format!("not now; trying again after {} ms is harmless", after.0.div_ceil(1_000));
             fault(out, numbers.throttled, &text);
         }
-        Reply::Failed => fault(out, numbers.failed, "failed; nothing is known of its effect"),
+        // A client of TDS cancels by an attention, which is met before.
+        Reply::Failed | Reply::Cancelled => {
+            fault(out, numbers.failed, "failed; nothing is known of its effect")
+        }
         Reply::FailedBy(tokens) => match tried_again(&tokens).filter(|_| !repeatable) {
             // A driver would send again what may have run.
             Some(message) => {
--- a/crates/comethitchd/src/stages/relay.rs
+++ b/crates/comethitchd/src/stages/relay.rs
@@ -14,7 +14,7 @@
     let counter = match &reply {
         Reply::Value(_) | Reply::Begun(..) => &hub.tally.answered,
         Reply::Throttled(_) => &hub.tally.throttled,
-        Reply::Failed | Reply::FailedBy(_) => &hub.tally.failed,
+        Reply::Failed | Reply::FailedBy(_) | Reply::Cancelled => &hub.tally.failed,
     };
     let given = hub.commands.borrow_mut().answer(id, reply);
     if given {
--- a/crates/comethitchd/src/wire/postgres.rs
+++ b/crates/comethitchd/src/wire/postgres.rs
@@ -107,8 +107,20 @@
     });
 }
 
+/// The connection, and its key, whose command a cancel request is to end.
+///
+/// ```
+/// let request = [16u32, 80_877_102, 7, 99].map(u32::to_be_bytes).concat();
+/// assert_eq!(comethitchd::wire::postgres::cancels(&request), Some((7, 99)));
+/// assert_eq!(comethitchd::wire::postgres::cancels(&request[..8]), None);
+/// ```
+pub fn cancels(request: &[u8]) -> Option<(u32, u32)> {
+    let word = |at: usize| Some(u32::from_be_bytes(request.get(at..at + 4)?.try_into().ok()?));
+    word(8).zip(word(12)).filter(|_| request.len() == 16)
+}
+
 /// Lets a client in, and tells it that it may ask.
-pub fn put_welcome(out: &mut Vec<u8>, minor: u16, number: u32) {
+pub fn put_welcome(out: &mut Vec<u8>, minor: u16, number: u32, key: u32) {
     if minor > 0 {
         put(out, b'v', |out| out.extend([VERSION_3.to_be_bytes(), [0; 4]].concat()));
     }
@@ -121,7 +133,7 @@
         ("integer_datetimes", "on"),
     ];
     told.into_iter().for_each(|pair| put(out, b'S', |out| put_pair(out, pair)));
-    put(out, b'K', |out| out.extend([number.to_be_bytes(), [0; 4]].concat()));
+    put(out, b'K', |out| out.extend([number.to_be_bytes(), key.to_be_bytes()].concat()));
     put_ready(out);
 }
 
--- a/crates/comethitchd/tests/endings.rs
+++ b/crates/comethitchd/tests/endings.rs
@@ -416,3 +416,48 @@
     drop((client, others, tell));
     router.wait();
 }
+
+/// The number and the key of a connection, as a client is told them.
+fn cancel_key(client: &mut Client) -> [u8; 8] {
+    client.0.write_all(&startup()).expect("sent");
+    let mut all = Vec::new();
+    let mut byte = [0];
+    while !all.ends_with(&message(b'Z', b"I")) {
+        client.0.read_exact(&mut byte).expect("a welcome");
+        all.push(byte[0]);
+    }
+    let at = all.windows(5).rposition(|five| five == [b'K', 0, 0, 0, 12]).expect("a key");
+    all[at + 5..at + 13].try_into().expect("eight bytes")
+}
+
+#[test]
+fn a_cancel_request_ends_its_command_alone_and_only_for_who_knows_the_key() {
+    let primary = host(true, |nth, _| if nth == 0 { Act::Silence } else { answer("value") });
+    let router = alone(&primary);
+    let mut client = Client::raw(router.address);
+    let key = cancel_key(&mut client);
+    let cancel = |key: [u8; 8]| {
+        let request = [&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &key].concat();
+        let mut other = Client::raw(router.address);
+        other.0.write_all(&request).expect("sent");
+        assert_eq!(other.got(), Got::Closed, "whoever asks learns nothing");
+    };
+    // Between two commands there is nothing to cancel.
+    cancel(key);
+    client.0.write_all(&query(&write(1, 5_000))).expect("sent");
+    assert!(matches!(primary.next(), Met::Query(_)));
+    let mut wrong = key;
+    wrong[7] ^= 1;
+    cancel(wrong);
+    assert!(primary.met.recv_timeout(GONE).is_err(), "a wrong key cancels nothing");
+    let asked = Instant::now();
+    cancel(key);
+    assert_eq!(client.got(), Got::Error("57014".into()));
+    assert_eq!(primary.next(), Met::Ended, "its dispatch is called off");
+    assert!(asked.elapsed() < GONE + BUSY, "{:?}", asked.elapsed());
+    assert_eq!(client.ask(&write(2, 5_000)), Got::Value(b"value".to_vec()));
+    router.wait();
+    let sent: Vec<Met> = primary.met.try_iter().filter(|met| matches!(met, Met::Query(_))).collect();
+    let second = matches!(&sent[..], [Met::Query(text)] if text.contains("id=2,"));
+    assert!(second, "the second alone came after, the first not again: {sent:?}");
+}
