--- a/crates/comethitchd/tests/endings.rs
+++ b/crates/comethitchd/tests/endings.rs
@@ -461,3 +461,22 @@
     let second = matches!(&sent[..], [Met::Query(text)] if text.contains("id=2,"));
     assert!(second, "the second alone came after, the first not again: {sent:?}");
 }
+
+#[test]
+fn a_write_under_which_a_kept_connection_closes_may_have_run_and_a_read_goes_again() {
+    let primary =
+        host(true, |nth, _| if nth % 2 == 1 { Act::Close } else { answer(&format!("value {nth}")) });
+    let router = alone(&primary);
+    let mut client = Client::connect(router.address);
+    assert_eq!(client.ask(&write(1, 5_000)), Got::Value(b"value 0".to_vec()));
+    assert_eq!(client.ask(&write(2, 5_000)), Got::Error("40003".into()), "on the connection kept");
+    assert_eq!(client.ask(&write(3, 5_000)), Got::Value(b"value 2".to_vec()));
+    assert_eq!(
+        client.ask(&read(4, 5_000)),
+        Got::Value(b"value 4".to_vec()),
+        "lost on the one kept, and sent again"
+    );
+    router.wait();
+    let sent: Vec<Met> = primary.met.try_iter().filter(|met| matches!(met, Met::Query(_))).collect();
+    assert_eq!(sent.len(), 5, "{sent:?}");
+}
--- a/crates/comethitchd/tests/told.rs
+++ b/crates/comethitchd/tests/told.rs
@@ -323,3 +323,20 @@
     let late = ready.iter().filter(|took| **took > Duration::from_secs(10)).count();
     assert!(late <= 2, "{ready:?}");
 }
+
+#[test]
+fn a_list_newer_than_the_one_known_at_the_start_is_held_at_once() {
+    let agent = Agent::start(|_, _, _| Manner::Well);
+    agent.change();
+    let known = [entry("p", "127.0.0.1:1".parse().expect("an address"), true, "ready")];
+    let mut all = site(&known, None, 1024);
+    all["discovery"] = agent.address.to_string().into();
+    let started = Instant::now();
+    let mut program = Program::start("newer", &all);
+    let limit = program.ends_after(LONG);
+    program.logs("list 8: p at 127.0.0.1:1 is Draining");
+    limit.store(true, SeqCst);
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+    program.signal("TERM");
+    program.ends();
+}
