--- a/crates/comethitch-fleet/src/slots.rs
+++ b/crates/comethitch-fleet/src/slots.rs
@@ -1,8 +1,8 @@
 //! A host whose connections are all taken.
 //!
-//! A host holds a limited number of connections. One that has no place left turns a newcomer away as it knocks, and a
-//! router that knocks again for each command costs it work and gets nothing. So what a router has there at once becomes
-//! all that it may have there, and after a while, twice as long each time, it knocks once for one more. Routers turned
+//! A host holds a limited number of connections. One that has no place left turns a newcomer away as it attempts a connection, and a
+//! router that attempts a connection again for each command costs it work and gets nothing. So what a router has there at once becomes
+//! all that it may have there, and after a while, twice as long each time, it attempts one more, once. Routers turned
 //! away together come back apart: each draws its own part of the wait.
 
 use crate::drawn;
@@ -25,8 +25,8 @@
     /// How often it was turned away since it last got one more.
     turned: u32,
     until: Time,
-    /// When the one that knocks was sent, while it is out.
-    knocked: Option<Time>,
+    /// When the one that attempts a connection was sent, while it is out.
+    attempted: Option<Time>,
 }
 
 impl Slots {
@@ -34,14 +34,14 @@
     pub fn sent(&mut self, now: Time) {
         self.out += 1;
         if self.most.is_some_and(|most| self.out > most) {
-            self.knocked = self.knocked.or(Some(now));
+            self.attempted = self.attempted.or(Some(now));
         }
     }
 
     /// One that was sent then came back, answered or not. Those on connections that are held tell nothing of another.
     pub fn ended(&mut self, sent: Time, answered: bool) {
-        if self.knocked == Some(sent) {
-            self.knocked = None;
+        if self.attempted == Some(sent) {
+            self.attempted = None;
             if answered {
                 // There was a place for one more.
                 (self.most, self.turned, self.until) = (None, 0, Time(0));
@@ -50,7 +50,7 @@
         self.out = self.out.saturating_sub(1);
     }
 
-    /// Turned away, after the end of the command that knocked. `salt` is the router's, `key` the host's, `connect` the
+    /// Turned away, after the end of the command that attempted a connection. `salt` is the router's, `key` the host's, `connect` the
     /// longest that a connection may take to come up.
     ///
     /// ```
@@ -68,7 +68,7 @@
     /// ```
     pub fn turned_away(&mut self, salt: u64, key: u64, connect: Span, now: Time) {
         self.most = Some(self.out);
-        // Several knocked at once: one refusal, not several.
+        // Several attempted a connection at once: one refusal, not several.
         if now >= self.until {
             let longest = connect * FIRST * (1 << self.turned.min(DOUBLED));
             self.turned += 1;
@@ -76,7 +76,7 @@
         }
     }
 
-    /// Whether one more may go there: on a connection that is held, or to knock, one at a time.
+    /// Whether one more may go there: on a connection that is held, or to attempt one, one at a time.
     pub fn open(&self, now: Time) -> bool {
         self.most.is_none_or(|most| self.out < most || self.out == most && now >= self.until)
     }
@@ -101,66 +101,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const CONNECT: Span = Span(250_000);
-
-    /// Sends whenever it may, every 10 ms over a minute, to a host that never has a place: when it knocked.
-    fn knocks(salt: u64) -> Vec<Time> {
-        let mut slots = Slots::default();
-        let at = (0..6_000).map(|nth| Time(nth * 10_000)).filter(|now| {
-            let open = slots.open(*now);
-            if open {
-                slots.sent(*now);
-                slots.ended(*now, false);
-                slots.turned_away(salt, 9, CONNECT, *now);
-            }
-            open
-        });
-        at.collect()
-    }
-
-    #[test]
-    fn a_host_without_places_is_not_hammered_nor_forgotten() {
-        for salt in 0..50 {
-            let at = knocks(salt);
-            assert!((6..=10).contains(&at.len()), "{} knocks in a minute", at.len());
-            assert!(at.windows(2).all(|two| two[1] - two[0] <= Span(16_010_000)));
-        }
-    }
-
-    #[test]
-    fn routers_turned_away_together_do_not_come_back_together() {
-        let fourth: Vec<Time> = (0..300).map(|salt| knocks(salt)[3]).collect();
-        let most = fourth.iter().map(|at| fourth.iter().filter(|other| *other == at).count()).max();
-        assert!(most < Some(30), "{most:?} of 300 within 10 ms");
-    }
-
-    #[test]
-    fn after_a_while_one_knocks_and_what_it_finds_counts_for_all() {
-        let (mut slots, now) = (Slots::default(), Time(1_000_000));
-        slots.turned_away(1, 2, CONNECT, now);
-        let later = now + CONNECT * FIRST;
-        assert!(!slots.open(now) && slots.open(later));
-        slots.sent(later);
-        assert!(!slots.open(later), "one knocks at a time");
-        slots.ended(later, true);
-        slots.sent(later);
-        assert!(slots.open(later), "there are places again");
-    }
-
-    #[test]
-    fn an_answer_on_a_connection_that_was_held_says_nothing_of_a_place_for_one_more() {
-        let (mut slots, now) = (Slots::default(), Time(1_000_000));
-        slots.sent(now);
-        slots.turned_away(1, 2, CONNECT, now);
-        let later = now + CONNECT * FIRST;
-        slots.sent(later);
-        slots.ended(now, true);
-        assert_eq!(slots.most, Some(1), "the one that knocks is still out");
-        slots.ended(later, false);
-        slots.turned_away(1, 2, CONNECT, later);
-        assert!(slots.until - later > CONNECT * FIRST, "the second wait is longer than the first could be");
-    }
-}
+mod tests;
