A router with client timeouts under 50 ms stops without a panic

Cause, found on reading the change again: listen.rs took WRITTEN (150 ms) from the longest client timeout and 100 ms, and a Duration below zero panics, so that at SIGTERM the daemon crashed with its commands in hand. Change: the span stops at zero. Result: the new test failed without it (Closed for the answer owed) and passes with it.

--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -132,7 +132,7 @@
         let limit = duration(hub.longest_timeout) + LAST_WORDS - STILL_COMING;
         let given_up = async {
             // A client may wait longer than its command group says: it is answered while there is time to.
-            Timer::after(limit - WRITTEN).await;
+            Timer::after(limit.saturating_sub(WRITTEN)).await;
             route::decide(&hub, |router, out| router.stops(out));
             Timer::after(WRITTEN).await;
         };
--- a/crates/comethitchd/tests/endings.rs
+++ b/crates/comethitchd/tests/endings.rs
@@ -480,3 +480,20 @@
     let sent: Vec<Met> = primary.met.try_iter().filter(|met| matches!(met, Met::Query(_))).collect();
     assert_eq!(sent.len(), 5, "{sent:?}");
 }
+
+#[test]
+fn a_router_whose_clients_wait_a_moment_only_stops_without_a_panic() {
+    let primary = host(true, |_, _| Act::Silence);
+    let mut all = site(&[entry("p", primary.address, true, "ready")], None, 1024);
+    for group in all["settings"]["classes"].as_array_mut().expect("groups") {
+        (group["target_us"], group["deadline_us"]) = (10_000.into(), 20_000.into());
+    }
+    let program = Program::start("moment", &all);
+    // A command in hand that would wait for longer keeps the router up to the end of its time.
+    let mut client = Client::connect(program.address);
+    client.0.write_all(&query(&write(1, 60_000))).expect("sent");
+    assert!(matches!(primary.next(), Met::Query(_)));
+    program.signal("TERM");
+    assert_eq!(client.got(), Got::Error("40003".into()));
+    program.ends();
+}
