--- a/crates/comethitch-lab/tests/fleet.rs
+++ b/crates/comethitch-lab/tests/fleet.rs
@@ -49,6 +49,19 @@
     assert!(perfect(&trial).breaks > 0);
 }
 
+#[test]
+fn what_three_hundred_routers_send_a_cold_host_is_no_more_than_chance_allows() {
+    let trial = Trial { routers: 300, all_cold: true, load: 0.6, fall_multiple: 1.3, seconds: 6, ..small() };
+    for seed in 1..=3 {
+        let report = kept(&Trial { seed, ..trial.clone() });
+        assert!(report.cold_most > 0.0 && report.cold_most <= 1.0, "seed {seed}: {report}");
+    }
+    // The measure trips where nobody budgets.
+    let planted = perfect(&trial);
+    assert!(planted.cold_most > 1.0, "{planted}");
+    assert!(planted.broken.iter().any(|what| what.contains("counts as chance")), "{planted}");
+}
+
 #[test]
 fn a_router_that_sees_many_times_what_others_do_crowds_no_host() {
     let trial = Trial { skew: 1.6, ..small() };
