--- a/crates/comethitch-lab/src/lib.rs
+++ b/crates/comethitch-lab/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod ledger;
 pub mod links;
 pub mod live;
+pub mod system_calls;
 pub mod trial;
 pub mod usable;
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unused_imports)]
 
 use async_io::Async;
+use comethitch_lab::system_calls::SystemCallFaults;
 pub use comethitch_testkit::LONG;
 pub use comethitch_testkit::postgres::{error, message, query, row};
 use comethitchd::protocols::tds::settings::TdsSettings;
@@ -13,11 +14,13 @@
 use comethitchd::state::clock::Clock;
 use comethitchd::state::config::Config;
 use serde_json::{Value, json};
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, OnceLock};
 use std::thread::{JoinHandle, spawn};
 use std::time::{Duration, SystemTime};
 
@@ -163,12 +166,24 @@
 
     /// The same with more options.
     pub fn start_with(name: &str, site: &Value, more: &[&str]) -> Program {
+        Program::start_in_environment(name, site, more, &[])
+    }
+
+    /// The same with system calls that fail by these settings (see [`SystemCallFaults`]).
+    pub fn start_with_faults(name: &str, site: &Value, settings: &str) -> Program {
+        Program::start_in_environment(name, site, &[], &system_call_faults().environment(settings))
+    }
+
+    fn start_in_environment(
+        name: &str, site: &Value, more: &[&str], environment: &[(&str, OsString)],
+    ) -> Program {
         let file = std::env::temp_dir().join(format!("comethitchd-{}-{name}.json", std::process::id()));
         std::fs::write(&file, site.to_string()).expect("written");
         let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_comethitchd"))
             .arg("serve")
             .args(more)
             .env("RELAY_CONFIG", &file)
+            .envs(environment.iter().cloned())
             .stderr(std::process::Stdio::piped())
             .spawn()
             .expect("started");
@@ -213,6 +228,15 @@
     }
 }
 
+/// The library of faults, compiled once for each test binary.
+fn system_call_faults() -> &'static SystemCallFaults {
+    static LIBRARY: OnceLock<SystemCallFaults> = OnceLock::new();
+    LIBRARY.get_or_init(|| {
+        SystemCallFaults::compile(Path::new(env!("CARGO_TARGET_TMPDIR")))
+            .expect("a C compiler links this test")
+    })
+}
+
 /// A test that fails leaves no program behind: it would hold the test's own output open.
 impl Drop for Program {
     fn drop(&mut self) {
--- /dev/null
+++ b/crates/comethitchd/tests/system_calls.rs
@@ -0,0 +1,76 @@
+//! The program while the system's calls fail as Linux documents that they may: interrupted reads and writes, sockets
+//! that can't be made for a moment, and a wall clock that is wrong.
+
+mod support;
+
+use std::io::Write;
+use std::time::{Duration, SystemTime};
+use support::*;
+
+/// An hour, as the settings of faults take it.
+const HOUR_MS: i64 = 3_600_000;
+/// How often a client asks until the router has learned what it needs; each time it waits for the answer.
+const MAX_ASKS: u32 = 60;
+/// The wait between two of these.
+const ASK_INTERVAL: Duration = Duration::from_millis(50);
+
+fn answer(value: &str) -> HostAction {
+    HostAction::Answer(row(value.as_bytes()))
+}
+
+fn wall_clock_wrong_by(ms: i64) -> String {
+    format!("wall_ms={ms}")
+}
+
+#[test]
+fn interrupted_reads_and_writes_lose_no_command() {
+    let primary = host(true, |_, _| answer("value"));
+    let all = configuration(&[entry("p", primary.address, true, "ready")], None, 1024);
+    // Every other read and write of a socket is interrupted.
+    let program = Program::start_with_faults("interrupted", &all, "seed=1,interrupt=2");
+    let mut client = Client::connect(program.address);
+    for id in 1..=20 {
+        assert_eq!(client.ask(&write(id, 2_000)), ClientReply::Value(b"value".to_vec()), "command {id}");
+    }
+    // Also those that wait behind another.
+    let pipelined: Vec<u8> = (21..=40).flat_map(|id| query(&write(id, 2_000))).collect();
+    client.0.write_all(&pipelined).expect("sent");
+    for id in 21..=40 {
+        assert_eq!(client.receive(), ClientReply::Value(b"value".to_vec()), "command {id}");
+    }
+    program.signal("TERM");
+    program.ends();
+}
+
+#[test]
+fn a_wall_clock_an_hour_behind_allows_no_read_from_stale_data() {
+    let primary = host(true, |_, _| answer("new"));
+    let stands_still = SystemTime::now() - Duration::from_secs(10);
+    let replica = host_since(false, |_, _| answer("stale"), Some((stands_still, Duration::ZERO)));
+    let hosts = [entry("p", primary.address, true, "ready"), entry("r", replica.address, false, "ready")];
+    let all = configuration(&hosts, None, 1024);
+    let program = Program::start_with_faults("behind", &all, &wall_clock_wrong_by(-HOUR_MS));
+    let mut client = Client::connect(program.address);
+    let replies: Vec<ClientReply> = (1..=20).map(|id| client.ask(&read(id, 600))).collect();
+    assert!(!replies.contains(&ClientReply::Value(b"stale".to_vec())), "{replies:?}");
+    assert!(replies.contains(&ClientReply::Value(b"new".to_vec())), "the primary serves: {replies:?}");
+    program.signal("TERM");
+    program.ends();
+}
+
+#[test]
+fn a_wall_clock_an_hour_ahead_keeps_replicas_in_use() {
+    let primary = host(true, |_, _| answer("primary"));
+    let replica = host(false, |_, _| answer("replica"));
+    let hosts = [entry("p", primary.address, true, "ready"), entry("r", replica.address, false, "ready")];
+    let all = configuration(&hosts, None, 1024);
+    let program = Program::start_with_faults("ahead", &all, &wall_clock_wrong_by(HOUR_MS));
+    let mut client = Client::connect(program.address);
+    let served_by_replica = (1..=MAX_ASKS).any(|id| {
+        std::thread::sleep(ASK_INTERVAL);
+        client.ask(&read(id, 600)) == ClientReply::Value(b"replica".to_vec())
+    });
+    assert!(served_by_replica, "no read reached the replica");
+    program.signal("TERM");
+    program.ends();
+}
