Interrupted calls are made again, and a shortage of sockets at the start passes

Cause: std's read, write and peek return EINTR, and the daemon took any error of a client's socket for its end (waiting.rs, has_disconnected and wait_until_interrupted; Buffer::fill; write_all), so that a command read was closed with no answer. A signal whose byte could not be read stopped the router (handle_signals took every error for a stop), one whose byte could not be written was lost. An address that could not be bound for a moment ended the process. Ruled out: accept (std repeats it), the reactor's waits (polling repeats them).

Failed accepts are counted, and logged once in a row.

--- a/crates/comethitchd/src/protocols/client_connection/mod.rs
+++ b/crates/comethitchd/src/protocols/client_connection/mod.rs
@@ -16,12 +16,13 @@
 use crate::state::descriptors::DescriptorPermit;
 use crate::state::router_state::RouterState;
 use crate::state::signals::{CloseRequest, ConnectionSignal};
+use crate::state::socket::Socket;
 use async_io::Async;
 use comethitch_policy::time::Timestamp;
 use comethitch_statement::assign::Arguments;
 use futures_lite::{AsyncWriteExt, FutureExt};
-use std::io::{self, Read};
-use std::net::{IpAddr, Shutdown, TcpStream};
+use std::io;
+use std::net::{IpAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,7 +42,7 @@
     pub number: u32,
     /// Asks this connection to close, or cancels its command.
     pub signal: Rc<ConnectionSignal>,
-    stream: Async<TcpStream>,
+    stream: Socket,
     /// A number for the client's machine, whose connections share one budget for parsing.
     origin: u64,
     /// When the last byte arrived that was consumed.
@@ -71,7 +72,7 @@
     pub fn new(
         state: Rc<RouterState>, stream: Async<TcpStream>, permit: DescriptorPermit, max_buffer_bytes: usize,
     ) -> ClientConnection {
-        let _ = stream.get_ref().set_nodelay(true);
+        let stream = Socket::new(stream);
         let arrived = state.now();
         let (number, signal) = state.clients.register(arrived);
         let buffer = Buffer::new(max_buffer_bytes, &state.memory);
@@ -133,7 +134,7 @@
             self.state.log_rejection(&admitted.client_id, "at_limit");
             return Ok(Admission::Throttled);
         }
-        if self.has_disconnected() {
+        if self.stream.has_ended() {
             return Err(Disconnect::ClientGone);
         }
         Ok(Admission::Admitted(admitted))
@@ -208,22 +209,16 @@
     /// Sends the last bytes, and discards input up to the end of the stream; none then, or if the connection breaks.
     async fn send_and_discard(&mut self, last_bytes: &[u8]) -> Option<()> {
         self.write(last_bytes).await.ok()?;
-        self.stream.get_ref().shutdown(Shutdown::Write).ok()?;
+        self.stream.shut_down_write().ok()?;
         self.consume(self.buffer.unread().len());
-        loop {
-            self.stream.readable().await.ok()?;
-            match self.stream.get_ref().read(&mut self.state.discard_buffer.borrow_mut()) {
-                Ok(length) if length > 0 => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                _ => return None,
-            }
-        }
+        while self.stream.read_into(&self.state.discard_buffer).await.ok()? > 0 {}
+        None
     }
 }
 
 /// A number for the client's machine. An IPv6 network of 64 bits counts as one client's.
-fn origin_of(stream: &Async<TcpStream>) -> u64 {
-    stream.get_ref().peer_addr().map_or(0, |address| match address.ip() {
+fn origin_of(stream: &Socket) -> u64 {
+    stream.peer_ip().map_or(0, |ip| match ip {
         IpAddr::V4(ip) => u64::from(ip.to_bits()),
         IpAddr::V6(ip) => (ip.to_bits() >> 64) as u64,
     })
--- a/crates/comethitchd/src/protocols/client_connection/waiting.rs
+++ b/crates/comethitchd/src/protocols/client_connection/waiting.rs
@@ -6,7 +6,6 @@
 use crate::state::signals::CloseRequest;
 use async_io::Timer;
 use futures_lite::FutureExt;
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::future::Future;
 use std::io;
 use std::pin::pin;
@@ -47,7 +46,7 @@
                 return Err(Disconnect::ProtocolViolation("the rest of a message did not come"));
             }
             // Something came at the last moment.
-            Err(Disconnect::Closing) if self.has_waiting_input() => self.buffer.fill(&self.stream).await?,
+            Err(Disconnect::Closing) if self.stream.has_input() => self.buffer.fill(&self.stream).await?,
             filled => filled?,
         };
         if length == 0 {
@@ -69,32 +68,9 @@
         fill.or(close).await
     }
 
-    /// Whether bytes wait in the system to be read.
-    fn has_waiting_input(&self) -> bool {
-        self.stream.get_ref().peek(&mut [0]).is_ok_and(|length| length > 0)
-    }
-
-    /// Whether the client has closed its connection or its sending half, or the connection was reset; also behind bytes
-    /// that are not read yet.
-    pub fn has_disconnected(&self) -> bool {
-        match self.stream.get_ref().peek(&mut [0]) {
-            Ok(0) => true,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-            // Behind bytes that are not read only the system sees the end.
-            Ok(_) => self.is_hung_up(),
-        }
-    }
-
-    fn is_hung_up(&self) -> bool {
-        let hang_up = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        let mut polled = [PollFd::new(&self.stream, hang_up)];
-        let ready = poll(&mut polled, Some(&Timespec { tv_sec: 0, tv_nsec: 0 }));
-        ready.is_ok_and(|number| number > 0) && polled[0].revents().intersects(hang_up)
-    }
-
     /// Waits until the client has disconnected, and reads nothing; what it sends meanwhile is timed all the same.
     async fn wait_for_disconnect(&mut self) {
-        while !self.has_disconnected() {
+        while !self.stream.has_ended() {
             self.record_waiting_input();
             Timer::after(DISCONNECT_POLL_INTERVAL).await;
         }
@@ -102,7 +78,7 @@
 
     /// Records the bytes that wait in the system to be read: they have arrived by now.
     fn record_waiting_input(&mut self) {
-        let waiting = self.stream.get_ref().peek(&mut self.state.discard_buffer.borrow_mut());
+        let waiting = self.stream.peek(&mut self.state.discard_buffer.borrow_mut());
         self.arrivals.waiting(waiting.unwrap_or(0), self.state.arrival_time());
     }
 
--- a/crates/comethitchd/src/protocols/connect.rs
+++ b/crates/comethitchd/src/protocols/connect.rs
@@ -5,9 +5,11 @@
 use crate::state::descriptors::DescriptorPermit;
 use crate::state::host_connection::{ConnectionError, HostConnection, SessionState};
 use crate::state::router_state::RouterState;
-use async_io::{Async, Timer};
+use crate::state::socket::{Socket, is_local_shortage};
+use async_io::Timer;
 use futures_lite::FutureExt;
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// While no descriptor is free, a connection waits this long before it looks again.
@@ -34,10 +36,8 @@
     let limit = state.config.deployment.connect_timeout.to_std();
     let permit = acquire_descriptor(state).await?;
     let open = async {
-        let stream =
-            Async::<TcpStream>::connect(address).await.map_err(|_| ConnectionError::ConnectFailed)?;
+        let stream = Socket::connect(address).await.map_err(|error| connect_error(&error))?;
         state.metrics.connections_opened.increment();
-        let _ = stream.get_ref().set_nodelay(true);
         let mut connection = HostConnection {
             stream,
             buffer: Buffer::new(options.max_buffer_bytes, &state.memory),
@@ -52,6 +52,11 @@
     open.or(after(limit, Err(ConnectionError::ConnectFailed))).await
 }
 
+/// A shortage of this machine is not the host's fault.
+fn connect_error(error: &io::Error) -> ConnectionError {
+    if is_local_shortage(error) { ConnectionError::NotSent } else { ConnectionError::ConnectFailed }
+}
+
 /// Waits for a free descriptor, no longer than a connection may take to open.
 async fn acquire_descriptor(state: &RouterState) -> Result<DescriptorPermit, ConnectionError> {
     let permit = async {
--- a/crates/comethitchd/src/service/discovery_client.rs
+++ b/crates/comethitchd/src/service/discovery_client.rs
@@ -3,15 +3,15 @@
 use crate::state::buffer::Buffer;
 use crate::state::clock::after;
 use crate::state::memory_budget::MemoryBudget;
+use crate::state::socket::Socket;
 use crate::wire::MalformedMessage;
 use crate::wire::discovery::EndpointListError;
 use crate::wire::http::{self, BodyDecoder, ResponseHead};
 use crate::wire::json_stream::{JsonStream, JsonStreamError, JsonStreamItem};
-use async_io::Async;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use std::future::Future;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Discovery answers at once: a connection, or the head of a response, that takes longer is abandoned.
@@ -67,7 +67,7 @@
 
 /// A response of the discovery service as it comes in.
 pub struct DiscoveryResponse {
-    stream: Async<TcpStream>,
+    stream: Socket,
     buffer: Buffer,
     body: BodyDecoder,
     objects: JsonStream,
@@ -82,9 +82,8 @@
     pub async fn request(
         address: SocketAddr, path: &str, budget: &MemoryBudget,
     ) -> Result<DiscoveryResponse, DiscoveryError> {
-        let connect = async { Ok(Async::<TcpStream>::connect(address).await?) };
+        let connect = async { Ok(Socket::connect(address).await?) };
         let stream = within(RESPONSE_TIMEOUT, DiscoveryError::ConnectTimeout, connect).await?;
-        let _ = stream.get_ref().set_nodelay(true);
         let request = http::get_request(path, &address.to_string());
         let mut buffer = Buffer::new(MAX_BUFFER_BYTES, budget);
         let head = async {
@@ -141,7 +140,7 @@
 }
 
 /// Reads the head of a response, and leaves it in the buffer.
-async fn read_head(stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<ResponseHead, DiscoveryError> {
+async fn read_head(stream: &Socket, buffer: &mut Buffer) -> Result<ResponseHead, DiscoveryError> {
     loop {
         if let Some(head) = http::parse_head(buffer.unread())? {
             return Ok(head);
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -1,6 +1,7 @@
 //! Listens for clients from the start of a router to its graceful shutdown.
 
 use crate::service::protocol::Protocol;
+use crate::service::received_signals::ReceivedSignals;
 use crate::service::{endpoint_watch, startup};
 use crate::stages::{policy_driver, updates};
 use crate::state::clock::{Clock, after};
@@ -9,15 +10,15 @@
 use crate::state::protocol::ClientProtocol;
 use crate::state::router_state::RouterState;
 use crate::state::signals::OneShotEvent;
+use crate::state::socket::is_local_shortage;
 use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// With an endpoint list from its configuration a router waits this long for discovery's own, then serves with that.
 const KNOWN_LIST_WAIT: Duration = Duration::from_secs(1);
@@ -38,6 +39,13 @@
 const SWEEPS_PER_REPORT: u32 = 40;
 /// How many connections may wait to be accepted.
 const BACKLOG: i32 = 1024;
+/// For so long an address is tried again that can't be listened on as this machine is short of something, or as the
+/// process before this one still holds it.
+const BIND_PATIENCE: Duration = Duration::from_secs(5);
+/// The wait between two of these tries.
+const BIND_RETRY_WAIT: Duration = Duration::from_millis(50);
+/// How often it is looked at whether a signal has come.
+const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a router can't serve.
 #[derive(Debug, thiserror::Error)]
@@ -68,8 +76,8 @@
     load_config: impl Fn() -> Result<Config, ConfigError> + 'static,
 ) -> Result<(), ServeError> {
     async_io::block_on(async {
-        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(ServeError::Signals)?;
-        let listeners = bind_all(config.listen, &protocol.also_listen)?;
+        let signals = ReceivedSignals::register().map_err(ServeError::Signals)?;
+        let listeners = bind_all(config.listen, &protocol.also_listen).await?;
         let state = startup::start(config, clock, protocol.backend)?;
         let stop = OneShotEvent::default();
         state.tasks.spawn(handle_signals(state.clone(), signals, stop.clone(), load_config)).detach();
@@ -78,22 +86,47 @@
     })
 }
 
-fn bind_all(listen: SocketAddr, also_listen: &[SocketAddr]) -> Result<Vec<Async<TcpListener>>, ServeError> {
-    let bind = |address: &SocketAddr| {
-        Async::<TcpListener>::bind(*address).map_err(|source| ServeError::Bind { address: *address, source })
-    };
-    std::iter::once(&listen).chain(also_listen).map(bind).collect()
+async fn bind_all(
+    listen: SocketAddr, also_listen: &[SocketAddr],
+) -> Result<Vec<Async<TcpListener>>, ServeError> {
+    let give_up_at = Instant::now() + BIND_PATIENCE;
+    let mut listeners = Vec::new();
+    for address in std::iter::once(&listen).chain(also_listen) {
+        listeners.push(bind(*address, give_up_at).await?);
+    }
+    Ok(listeners)
+}
+
+/// Binds an address, and tries again while what hinders it may pass.
+async fn bind(address: SocketAddr, give_up_at: Instant) -> Result<Async<TcpListener>, ServeError> {
+    loop {
+        match Async::<TcpListener>::bind(address) {
+            Ok(listener) => return Ok(listener),
+            Err(source) if may_pass(&source) && Instant::now() < give_up_at => {
+                log::warn!("can't listen on {address} yet: {source}");
+                Timer::after(BIND_RETRY_WAIT).await;
+            }
+            Err(source) => return Err(ServeError::Bind { address, source }),
+        }
+    }
+}
+
+fn may_pass(error: &io::Error) -> bool {
+    is_local_shortage(error) || error.kind() == io::ErrorKind::AddrInUse
 }
 
 /// Handles signals up to the end: neither signal to stop may kill a router that is shutting down.
 async fn handle_signals(
-    state: Rc<RouterState>, mut signals: Signals, stop: OneShotEvent,
+    state: Rc<RouterState>, signals: ReceivedSignals, stop: OneShotEvent,
     load_config: impl Fn() -> Result<Config, ConfigError>,
 ) {
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => updates::reload(&state, load_config()),
-            _ => stop.set(),
+    loop {
+        Timer::after(SIGNAL_POLL_INTERVAL).await;
+        if signals.take_reload() {
+            updates::reload(&state, load_config());
+        }
+        if signals.stop_requested() {
+            stop.set();
         }
     }
 }
@@ -184,6 +217,7 @@
     state: &Rc<RouterState>, protocol: &Rc<dyn ClientProtocol<RouterState>>, listener: &Async<TcpListener>,
 ) {
     let mut incoming = std::pin::pin!(listener.incoming());
+    let mut failures_in_row = 0;
     loop {
         let Some(permit) = state.acquire_client_descriptor() else {
             Timer::after(RETRY_WAIT).await;
@@ -191,11 +225,17 @@
         };
         match incoming.next().await {
             Some(Ok(stream)) => {
+                failures_in_row = 0;
                 state.tasks.spawn(protocol.serve(state.clone(), stream, permit)).detach();
             }
             failed => {
-                let error = failed.and_then(Result::err);
-                log::warn!("a connection could not be accepted: {error:?}");
+                // Logged once, as a shortage may last for many tries.
+                if failures_in_row == 0 {
+                    let error = failed.and_then(Result::err);
+                    log::warn!("a connection could not be accepted: {error:?}");
+                }
+                failures_in_row += 1;
+                state.metrics.accepts_failed.increment();
                 Timer::after(RETRY_WAIT).await;
             }
         }
--- a/crates/comethitchd/src/service/mod.rs
+++ b/crates/comethitchd/src/service/mod.rs
@@ -8,5 +8,6 @@
 pub mod listen;
 pub mod logger;
 pub mod protocol;
+pub mod received_signals;
 pub mod startup;
 pub mod trail;
--- a/crates/comethitchd/src/state/host_connection.rs
+++ b/crates/comethitchd/src/state/host_connection.rs
@@ -2,15 +2,15 @@
 
 use crate::state::buffer::Buffer;
 use crate::state::descriptors::DescriptorPermit;
-use async_io::Async;
+use crate::state::socket::Socket;
 use comethitch_policy::AttemptOutcome;
 use comethitch_policy::time::Timestamp;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 
 /// An established connection to a host, in use or idle in the pool.
 pub struct HostConnection {
     /// The socket.
-    pub stream: Async<TcpStream>,
+    pub stream: Socket,
     /// What was read and not consumed.
     pub buffer: Buffer,
     /// The address that it was opened to.
@@ -35,8 +35,7 @@
 impl HostConnection {
     /// Whether nothing came while it was idle. An end of stream, an error or a stray message make it unusable.
     pub fn is_quiet(&self) -> bool {
-        let peeked = self.stream.get_ref().peek(&mut [0; 1]);
-        self.buffer.unread().is_empty() && peeked.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+        self.buffer.unread().is_empty() && self.stream.is_quiet()
     }
 }
 
--- a/crates/comethitchd/src/state/metrics.rs
+++ b/crates/comethitchd/src/state/metrics.rs
@@ -67,6 +67,8 @@
     pub health_checks_failed: Counter,
     /// Connections opened to hosts.
     pub connections_opened: Counter,
+    /// Connections of clients that could not be accepted, counted by tries.
+    pub accepts_failed: Counter,
     /// Attempts that have ended, by outcome.
     pub attempts: CounterByKind<AttemptOutcome>,
     /// Commands that the policy rejected, by the name of its reason.
@@ -89,6 +91,7 @@
             ("health_checks", &self.health_checks),
             ("health_checks_failed", &self.health_checks_failed),
             ("connections_opened", &self.connections_opened),
+            ("accepts_failed", &self.accepts_failed),
         ];
         let counts = named.into_iter().map(|(name, counter)| (name.to_string(), counter.take()));
         let attempts = self.attempts.take().into_iter();
--- a/crates/comethitchd/src/state/mod.rs
+++ b/crates/comethitchd/src/state/mod.rs
@@ -21,4 +21,5 @@
 pub mod protocol;
 pub mod router_state;
 pub mod signals;
+pub mod socket;
 pub mod stall_detector;
--- a/crates/comethitchd/tests/system_calls.rs
+++ b/crates/comethitchd/tests/system_calls.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::io::Write;
+use std::sync::atomic::Ordering::SeqCst;
 use std::time::{Duration, SystemTime};
 use support::*;
 
@@ -74,3 +75,31 @@
     program.signal("TERM");
     program.ends();
 }
+
+#[test]
+fn a_shortage_of_sockets_at_the_start_delays_it_only() {
+    let primary = host(true, |_, _| answer("value"));
+    let all = configuration(&[entry("p", primary.address, true, "ready")], None, 1024);
+    let program = Program::start_with_faults("no-socket", &all, "seed=1,socket_first=3");
+    let mut client = Client::connect(program.address);
+    assert_eq!(client.ask(&write(1, 2_000)), ClientReply::Value(b"value".to_vec()));
+    program.signal("TERM");
+    program.ends();
+}
+
+#[test]
+fn interrupted_signals_neither_stop_a_router_nor_get_lost() {
+    let primary = host(true, |_, _| answer("value"));
+    let all = configuration(&[entry("p", primary.address, true, "ready")], None, 1024);
+    let mut program = Program::start_with_faults("signals", &all, "seed=1,interrupt=2");
+    let done = program.ends_after(LONG);
+    for id in 1..=10 {
+        program.signal("HUP");
+        program.logs("the configuration was reloaded");
+        let mut client = Client::connect(program.address);
+        assert_eq!(client.ask(&write(id, 2_000)), ClientReply::Value(b"value".to_vec()), "command {id}");
+    }
+    done.store(true, SeqCst);
+    program.signal("TERM");
+    program.ends();
+}
