The hosts' time is taken from primaries' reports, not from the router's own wall clock

Cause: positions and start times of hosts are Unix times of other machines, and the policy reckoned their age from the wall clock that its process had read at the start (selection.rs is_fresh, group.rs apply_report, estimates.rs warm_part, host_state.rs apply_note, policy_driver.rs since_write). With that clock an hour behind every difference saturates at zero, so that all data seem fresh; an hour ahead all seem old, and hosts that have just started seem warm. Ruled out: steps while the router runs, as it reads the wall clock once.

Change: policy/host_clock.rs keeps by how much the last reports of primaries were past the router's clock. The age of data is reckoned from the latest that the hosts' time can be, warmth from the earliest; neither is known before a primary has reported, and one is asked at once then, a different one each quarter of a second. Tokens of sessions are positions and are compared as such.

--- a/crates/comethitch-adapter/src/event.rs
+++ b/crates/comethitch-adapter/src/event.rs
@@ -158,7 +158,9 @@
 }
 
 /// Decodes a record of [`EventCode::CommandSubmitted`].
-pub fn command_request(record: RecordReader, deployment: &Deployment) -> Result<CommandRequest, RecordError> {
+pub fn command_request(
+    record: RecordReader, deployment: &Deployment, now: Timestamp,
+) -> Result<CommandRequest, RecordError> {
     const ID: usize = 3;
     const GROUP: usize = 7;
     const SESSION: usize = 11;
@@ -169,13 +171,13 @@
     if group >= deployment.groups.len() {
         return Err(RecordError::UnknownCommandGroup(group));
     }
-    let since_write = since_write(record.f32(SINCE_WRITE)?);
+    let after = since_write(record.f32(SINCE_WRITE)?).map(|since| now - since);
     Ok(CommandRequest {
         id: record.u32(ID)?,
         group,
         shard: record.f32(SHARD)? as u16,
         session: record.u64(SESSION)?,
-        since_write,
+        after,
         timeout: Duration::from_micros(record.u32(TIMEOUT)?.into()),
     })
 }
--- a/crates/comethitch-adapter/src/session.rs
+++ b/crates/comethitch-adapter/src/session.rs
@@ -8,7 +8,7 @@
 use crate::record::RecordReader;
 use crate::reply::Reply;
 use comethitch_policy::time::Timestamp;
-use comethitch_policy::{EndpointUpdate, Router};
+use comethitch_policy::{Actions, EndpointUpdate, Router};
 use std::any::Any;
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -157,7 +157,7 @@
 }
 
 fn command_submitted(router: &mut Router, record: RecordReader, out: &mut Reply) -> Result<(), RecordError> {
-    let request = event::command_request(record, &router.deployment)?;
+    let request = event::command_request(record, &router.deployment, out.now())?;
     router.submit(request, out);
     Ok(())
 }
--- a/crates/comethitch-lab/src/fleet/clients.rs
+++ b/crates/comethitch-lab/src/fleet/clients.rs
@@ -46,7 +46,7 @@
             group: usize::from(command.write),
             shard: command.shard,
             session: 0,
-            since_write: None,
+            after: None,
             timeout,
         };
         self.call(router, |router, out| _ = router.submit(request, out));
--- a/crates/comethitch-policy/src/estimates.rs
+++ b/crates/comethitch-policy/src/estimates.rs
@@ -49,9 +49,12 @@
         observed.unwrap_or(objective / estimate.objective_divisor)
     }
 
-    /// The part of a host's capacity that it surely has by now, if it started lately.
+    /// The part of a host's capacity that it surely has by now, if it started lately: that of its very start while the
+    /// hosts' time is not known.
     pub(crate) fn warm_part(&self, index: HostIndex, now: Timestamp) -> f64 {
-        self.deployment.slow_start.warm_part(self.hosts[index].started, now)
+        let started = self.hosts[index].started;
+        let host_time = self.earliest_host_time(now).or(started).unwrap_or(now);
+        self.deployment.slow_start.warm_part(started, host_time)
     }
 
     /// How many routers use a host, where their subsets have this size; all use a primary.
--- a/crates/comethitch-policy/src/host_state.rs
+++ b/crates/comethitch-policy/src/host_state.rs
@@ -29,13 +29,13 @@
     pub draining_since: Option<Timestamp>,
     /// Listed as removed, or missing from a complete list.
     pub removed: bool,
-    /// When its process started, if that is listed.
+    /// When its process started, on the hosts' clock, if that is listed.
     pub started: Option<Timestamp>,
     /// The role that it last reported.
     pub role: Option<Role>,
     /// When it last answered as primary.
     pub last_seen_primary: Timestamp,
-    /// All commits up to here are applied there: proven, never going back.
+    /// All commits up to here, on the hosts' clock, are applied there: proven, never going back.
     pub position: Timestamp,
     /// How far behind it seemed when it last reported its position.
     pub lag: Duration,
@@ -103,21 +103,19 @@
         };
     }
 
-    /// Records a reported position; `report_age` is how old such reports usually are.
-    pub fn apply_position(
-        &mut self, position: Timestamp, report: &HostReport, report_age: Duration, now: Timestamp,
-    ) {
-        self.lag = (now - position) - report_age;
+    /// Records a report that came now, and how far behind its position seemed.
+    pub fn apply_position(&mut self, lag: Duration, report: &HostReport, now: Timestamp) {
+        self.lag = lag;
         self.lag_reported_at = now;
         self.queue_length = report.queue.unwrap_or_default();
     }
 
-    /// Records the note on an answer to what was sent at that time. A primary has all commits when it answers, so at
-    /// the least those up to the moment of the send.
-    pub fn apply_note(&mut self, note: &HostReport, sent_at: Timestamp) {
+    /// Records the note on an answer to what was sent at that time of the hosts, if it is known. A primary has all
+    /// commits when it answers, so at the least those up to the moment of the send.
+    pub fn apply_note(&mut self, note: &HostReport, sent_at: Option<Timestamp>) {
         if note.role == Some(Role::Primary) {
-            let noted = note.position.map_or(sent_at, |position| position - NOTE_RESOLUTION);
-            self.position = self.position.max(noted.max(sent_at));
+            let noted = note.position.map(|position| position - NOTE_RESOLUTION);
+            self.position = self.position.max(noted.max(sent_at).unwrap_or_default());
         }
     }
 
--- a/crates/comethitch-policy/src/messages.rs
+++ b/crates/comethitch-policy/src/messages.rs
@@ -17,8 +17,8 @@
     pub shard: Shard,
     /// The client's session, 0 for none.
     pub session: u64,
-    /// How long ago its session last wrote, where clients carry that.
-    pub since_write: Option<Duration>,
+    /// The position that it must see, where clients carry that.
+    pub after: Option<Timestamp>,
     /// How much longer its client waits.
     pub timeout: Duration,
 }
--- a/crates/comethitch-policy/src/policy/attempts.rs
+++ b/crates/comethitch-policy/src/policy/attempts.rs
@@ -35,7 +35,8 @@
         if end.outcome == AttemptOutcome::Answered && !router.deployment.session_tokens_carried {
             router.session_commits.record(session, end.note.position.unwrap_or_default());
         }
-        router.hosts[attempt.host].apply_note(&end.note, attempt.sent_at);
+        let sent_at = router.host_clock.earliest(attempt.sent_at);
+        router.hosts[attempt.host].apply_note(&end.note, sent_at);
         router.apply_report(attempt.host, end.report, attempt.was_answered().then_some(end.note), out);
         router.fail_over_if_not_primary(&attempt, out);
         router.continue_command(self.0, &attempt, out);
--- a/crates/comethitch-policy/src/policy/endpoints.rs
+++ b/crates/comethitch-policy/src/policy/endpoints.rs
@@ -30,7 +30,8 @@
         let host = &mut self.hosts[index];
         // A process that started anew holds no role and none of what was sent to it.
         let newer = endpoint.started > host.started;
-        let restarted = known.is_some() && newer && host.last_answer < endpoint.started.unwrap_or_default();
+        let last_answer = self.host_clock.probably(host.last_answer);
+        let restarted = known.is_some() && newer && last_answer < endpoint.started.unwrap_or_default();
         host.apply_endpoint(endpoint, now);
         let Some(group) = self.host_groups.get_mut(&endpoint.shard) else { return };
         let newly_named = endpoint.is_primary && group.listed_primary != Some(index);
--- a/crates/comethitch-policy/src/policy/group.rs
+++ b/crates/comethitch-policy/src/policy/group.rs
@@ -16,17 +16,22 @@
         &mut self, index: HostIndex, report: HostReport, note: Option<HostReport>, out: &mut dyn Actions,
     ) {
         let now = out.now();
-        let host = &mut self.hosts[index];
+        self.observe_host_time(index, &report, now);
         if let Some(position) = report.position {
-            host.position = host.position.max(position);
+            // Where the hosts' time is not known yet, nothing is known of a lag either.
+            let age = self.latest_host_time(now).map_or(Duration::ZERO, |host_time| host_time - position);
             if report.role == Some(Role::Primary) {
-                self.report_age.add(now - position);
+                self.report_age.add(age);
             }
             let report_age = self.report_age.quantile(0.5).unwrap_or_default();
-            host.apply_position(position, &report, report_age, now);
+            let host = &mut self.hosts[index];
+            host.position = host.position.max(position);
+            host.apply_position(age - report_age, &report, now);
         }
+        let host = &mut self.hosts[index];
         // A report may be older than an answer: one from before it last answered as primary is void.
-        let newer = report.position.is_none_or(|position| position > host.last_seen_primary);
+        let last_seen_primary = self.host_clock.probably(host.last_seen_primary);
+        let newer = report.position.is_none_or(|position| position > last_seen_primary);
         let reported_role = report.role.filter(|role| *role == Role::Primary || newer);
         let Some(role) = note.and_then(|note| note.role).or(reported_role) else { return };
         host.role = Some(role);
@@ -63,7 +68,10 @@
             GroupState::Healthy => true,
             GroupState::Unhealthy => by_answer || !host.unresponsive,
             // Failover ends with evidence newer than it: a report made earlier tells of the time before.
-            GroupState::Failover => by_answer || (host.position > group.state_since && !host.unresponsive),
+            GroupState::Failover => {
+                let since = self.host_clock.probably(group.state_since);
+                by_answer || (host.position > since && !host.unresponsive)
+            }
         }
     }
 
@@ -139,7 +147,8 @@
     /// member's position moves on; with one, it is tried further, as no other could do its work.
     fn keeps_primary(&self, group: &HostGroup, now: Timestamp) -> bool {
         let mut others = group.members.iter().filter(|member| group.primary != Some(**member));
-        let moving = others.any(|member| now - self.hosts[*member].position < SILENCE_TIMEOUT);
+        let host_time = self.host_clock.probably(now);
+        let moving = others.any(|member| host_time - self.hosts[*member].position < SILENCE_TIMEOUT);
         moving && group.primary.is_some_and(|primary| !self.hosts[primary].unresponsive)
     }
 
--- a/crates/comethitch-policy/src/policy/health.rs
+++ b/crates/comethitch-policy/src/policy/health.rs
@@ -117,8 +117,12 @@
         let needed = (group.state == GroupState::Failover || group.primary.is_none())
             || self.is_doubtful_primary(index)
             || group.primary == Some(index) && silent;
-        let in_use = group.recent_commands.value(now, RECENT_COMMANDS_WINDOW) >= MIN_RECENT_COMMANDS;
-        !self.refresh_on_demand || needed && in_use
+        !self.refresh_on_demand || needed && self.is_in_use(group, now)
+    }
+
+    /// Whether commands came for a group lately.
+    pub(super) fn is_in_use(&self, group: &HostGroup, now: Timestamp) -> bool {
+        group.recent_commands.value(now, RECENT_COMMANDS_WINDOW) >= MIN_RECENT_COMMANDS
     }
 
     /// Takes the price from the group's budget. What nothing has paid for is free after a long while.
@@ -143,7 +147,7 @@
             let asked = host.health_check_sent.is_some() || now < host.next_position_refresh;
             if host.position < oldest && !asked && self.has_capacity(&member, command_group, now) {
                 let lag = Some(host.lag).filter(|_| host.position > Timestamp::ZERO);
-                let backoff = freshness::refresh_backoff(lag, HEALTH_CHECK_RETRY);
+                let backoff = freshness::refresh_backoff(lag, HEALTH_CHECK_RETRY).min(RECENT_COMMANDS_WINDOW);
                 self.hosts[member.index].next_position_refresh = now + backoff;
                 self.send_health_check(member.index, out);
             }
@@ -158,13 +162,14 @@
         let group = self.host_groups.get(&command.shard).filter(|_| guard)?;
         let less_margin = |bound: Duration| bound - bound / STALENESS_MARGIN;
         let lasts = |bound| freshness::refresh_after(less_margin(bound), HEALTH_CHECK_RETRY);
+        let host_time = self.latest_host_time(now).unwrap_or(now);
         match self.settings(command).consistency {
-            Consistency::BoundedStaleness(bound) => Some(now - lasts(bound)),
+            Consistency::BoundedStaleness(bound) => Some(host_time - lasts(bound)),
             Consistency::Session => Some(command.required_position).filter(|past| *past > Timestamp::ZERO),
             Consistency::Eventual => None,
             // Whether the group keeps a primary in doubt shows in whether its other members move on.
             Consistency::Write | Consistency::Strong => {
-                (group.state == GroupState::Unhealthy).then(|| now - lasts(SILENCE_TIMEOUT))
+                (group.state == GroupState::Unhealthy).then(|| host_time - lasts(SILENCE_TIMEOUT))
             }
         }
     }
--- a/crates/comethitch-policy/src/policy/mod.rs
+++ b/crates/comethitch-policy/src/policy/mod.rs
@@ -5,18 +5,21 @@
 //!
 //! `admission` queues and rejects commands, `selection` chooses a host, `retries` says what may be sent
 //! again, `attempts` sends and takes in ends, `load` limits the work at each host, `health` checks hosts and
-//! ejects outliers, `group` follows failovers, `endpoints` applies the endpoint list. The mechanism is
-//! described in `docs/design.md`; "Beyond the design" marks departures from it.
+//! ejects outliers, `group` follows failovers, `endpoints` applies the endpoint list, `host_clock` tells
+//! what time it is at the hosts. The mechanism is described in `docs/design.md`; "Beyond the design" marks departures from it.
 
 mod admission;
 mod attempts;
 mod endpoints;
 mod group;
 mod health;
+mod host_clock;
 mod load;
 mod retries;
 mod selection;
 
+pub(crate) use host_clock::HostClock;
+
 use crate::command::{Attempt, Command};
 use crate::host_group::{GroupState, HostGroup};
 use crate::router::{Handle, Router, Selection};
@@ -55,13 +58,14 @@
     pub fn submit(&mut self, request: CommandRequest, out: &mut dyn Actions) -> Handle {
         let now = out.now();
         let required_position = if self.deployment.session_tokens_carried {
-            request.since_write.map_or(Timestamp::ZERO, |since| now - since)
+            request.after.unwrap_or_default()
         } else {
             self.session_commits.latest(request.session)
         };
         self.commands.insert(request.id, Command::new(&request, required_position, now));
         self.fund_retries();
         self.fund_health_checks(request.shard, now);
+        self.prove_clock(out);
         self.refresh_positions(request.id, out);
         self.schedule(request.id, out);
         Handle(request.id)
@@ -74,6 +78,7 @@
             self.check_primary(shard, out);
         }
         self.run_due_health_checks(out);
+        self.prove_clock(out);
         for id in self.commands.keys().copied().collect::<Vec<_>>() {
             self.review_command(id, out);
         }
--- a/crates/comethitch-policy/src/policy/selection.rs
+++ b/crates/comethitch-policy/src/policy/selection.rs
@@ -139,7 +139,9 @@
             Consistency::BoundedStaleness(bound) if checks => {
                 host.lag <= bound.scaled(CHECKED_LAG_SHARE) && reported
             }
-            Consistency::BoundedStaleness(bound) => now - host.position <= bound - bound / STALENESS_MARGIN,
+            Consistency::BoundedStaleness(bound) => self
+                .latest_host_time(now)
+                .is_some_and(|host_time| host_time - host.position <= bound - bound / STALENESS_MARGIN),
             Consistency::Write | Consistency::Strong => false,
         }
     }
--- a/crates/comethitch-policy/src/router.rs
+++ b/crates/comethitch-policy/src/router.rs
@@ -6,7 +6,8 @@
 use crate::histogram::Histogram;
 use crate::host_group::HostGroup;
 use crate::host_table::{HostIndex, HostTable};
-use crate::time::Duration;
+use crate::policy::HostClock;
+use crate::time::{Duration, Timestamp};
 use crate::{Actions, CommandId, Deployment, Shard};
 use crate::{random::RandomGenerator, session_commits::SessionCommits};
 use std::collections::BTreeMap;
@@ -31,6 +32,11 @@
     pub(crate) error_rate: f64,
     /// Answer times by command group.
     pub(crate) service_times: Vec<Histogram>,
+    /// What reports show of the hosts' clock.
+    pub(crate) host_clock: HostClock,
+    /// How often a primary was asked for the hosts' time alone, and when one may be asked again.
+    pub(crate) clock_checks: usize,
+    pub(crate) next_clock_check: Timestamp,
     /// How old a primary's report of its position is: pure age, as a primary has all commits.
     pub(crate) report_age: Histogram,
     /// The latest commit that each session has written, where this router has to remember.
@@ -84,6 +90,9 @@
             retry_budget: 0.0,
             error_rate: 0.0,
             service_times: Vec::new(),
+            host_clock: HostClock::default(),
+            clock_checks: 0,
+            next_clock_check: Timestamp::ZERO,
             report_age: Histogram::default(),
             session_commits: SessionCommits::default(),
             shortest_objective,
--- a/crates/comethitch-policy/tests/scenarios.rs
+++ b/crates/comethitch-policy/tests/scenarios.rs
@@ -4,6 +4,7 @@
 //! set KEY=VALUE                a setting other than the base below, before anything else
 //! list a primary, b, c warming the complete endpoint list: role, `warming` (started now), `draining` or `removed`
 //! pair                         primary a and replica b are listed, a was checked, it is 10ms
+//! hosts 600s ahead|behind      the hosts' clock differs by so much from the router's, from now on
 //! at 40ms                      the time from the start; ticks that were due before are made
 //! checked a,b ok primary -20ms the end of a health check of each, and its report (q9: nine commands wait there)
 //! submit 1 bounded for 600ms   a command of a group, with its client timeout (`after 30ms`: since its write)
@@ -213,12 +214,43 @@
     since: usize,
     /// How far `expect` has read.
     read: usize,
+    hosts: HostTime,
+}
+
+/// How the hosts' clock differs from the router's.
+#[derive(Clone, Copy, Default)]
+struct HostTime {
+    ahead: Duration,
+    behind: Duration,
+}
+
+impl HostTime {
+    /// The difference that `600s ahead` names.
+    fn read(span: &str, direction: &str) -> HostTime {
+        match direction {
+            "ahead" => HostTime { ahead: duration(span), behind: Duration::ZERO },
+            "behind" => HostTime { ahead: Duration::ZERO, behind: duration(span) },
+            other => panic!("no direction {other:?}"),
+        }
+    }
+
+    /// What a time of the router's is at the hosts.
+    fn at(self, time: Timestamp) -> Timestamp {
+        time + self.ahead - self.behind
+    }
 }
 
 impl Scenario {
     fn new() -> Scenario {
         let out = RecordedActions { now: START, ..RecordedActions::default() };
-        Scenario { settings: base_settings(), router: None, out, since: 0, read: 0 }
+        Scenario {
+            settings: base_settings(),
+            router: None,
+            out,
+            since: 0,
+            read: 0,
+            hosts: HostTime::default(),
+        }
     }
 
     fn router(&mut self) -> (&mut Router, &mut RecordedActions) {
@@ -243,7 +275,7 @@
         });
         let age = words.iter().find(|word| word.starts_with('-'));
         let queue = words.iter().find_map(|word| word.strip_prefix('q')?.parse().ok());
-        HostReport { role, position: age.map(|word| self.out.now - duration(word)), queue }
+        HostReport { role, position: age.map(|word| self.hosts.at(self.out.now) - duration(word)), queue }
     }
 
     fn step(&mut self, line: &str) -> Result<(), String> {
@@ -253,6 +285,7 @@
             ["set", setting] => self.set(setting),
             ["list", ..] => self.list(line.trim_start_matches("list")),
             ["pair"] => self.pair()?,
+            ["hosts", span, direction] => self.hosts = HostTime::read(span, direction),
             ["at", time] => self.advance(START + duration(time)),
             ["checked", hosts, end, report @ ..] => self.check_health(hosts, outcome(end), report),
             ["submit", id, group, "for", timeout, rest @ ..] => self.submit(id, group, timeout, rest),
@@ -279,7 +312,7 @@
     }
 
     fn list(&mut self, entries: &str) {
-        let now = self.out.now;
+        let now = self.hosts.at(self.out.now);
         let endpoints = entries.split(',').map(|entry| endpoint(entry, now)).collect();
         let (router, out) = self.router();
         router.update_endpoints(&EndpointUpdate { complete: true, endpoints }, out);
@@ -312,15 +345,16 @@
     }
 
     fn submit(&mut self, id: &str, group: &str, timeout: &str, rest: &[&str]) {
+        let hosts = self.hosts;
+        let (router, out) = self.router();
         let request = CommandRequest {
             id: id.parse().expect("an id"),
             group: GROUPS.iter().position(|other| other.name == group).expect("a command group"),
             shard: 0,
             session: 1,
-            since_write: rest.last().map(|word| duration(word)),
+            after: rest.last().map(|word| hosts.at(out.now) - duration(word)),
             timeout: duration(timeout),
         };
-        let (router, out) = self.router();
         router.submit(request, out);
     }
 
--- a/crates/comethitchd/src/stages/policy_driver.rs
+++ b/crates/comethitchd/src/stages/policy_driver.rs
@@ -131,9 +131,8 @@
     let (id, reply) = state.commands.borrow_mut().register(statement);
     call(state, |router, actions| {
         let now = actions.now();
-        let since_write = after.map(|after| now - after);
         let timeout = deadline - now;
-        router.submit(CommandRequest { id, group, shard, session, since_write, timeout }, actions);
+        router.submit(CommandRequest { id, group, shard, session, after, timeout }, actions);
     });
     (id, reply)
 }
