--- a/crates/comethitch-policy/src/lib.rs
+++ b/crates/comethitch-policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod policy;
 pub mod random;
 mod router;
+pub mod send;
 pub mod session_commits;
 
 pub use actions::{Action, ActionQueue, Actions};
@@ -38,3 +39,4 @@
 pub use messages::{AttemptEnd, CommandId, CommandRequest, Endpoint, EndpointUpdate};
 pub use outcome::{AttemptOutcome, RejectionReason};
 pub use router::{Handle, Router};
+pub use send::{SendRefusal, SendViolation};
--- a/crates/comethitch-policy/src/policy/attempts.rs
+++ b/crates/comethitch-policy/src/policy/attempts.rs
@@ -1,28 +1,9 @@
-//! The life of an attempt: it is sent, may be held up on its way, and ends or is cancelled.
+//! The life of an attempt: it is sent, and ends or is cancelled.
 
 use super::*;
 use crate::AttemptEnd;
 
 impl Handle {
-    /// Whether an attempt that was held up on its way may still be sent: while its connection came up, its
-    /// command may have been rejected, its host begun to drain, or the data become too old.
-    pub fn may_still_send(self, router: &Router, nth: u16, now: Timestamp) -> bool {
-        let command = router.commands.get(&self.0);
-        let Some(command) = command.filter(|command| !command.finished) else { return false };
-        let nth = usize::from(nth);
-        let Some(attempt) = command.attempts.get(nth) else { return false };
-        let index = attempt.host;
-        let need = router.settings(command).consistency;
-        let bounded = matches!(need, Consistency::BoundedStaleness(_));
-        let checked = router.host_groups[&command.shard].primary == Some(index)
-            || router.deployment.staleness_check != StalenessCheck::Off;
-        attempt.outcome.is_none()
-            && now < command.deadline
-            && (!bounded || checked || router.is_fresh(index, need, command, now))
-            && !router.past_drain_grace(index, now)
-            && router.may_follow(command, nth, index, now)
-    }
-
     /// Takes in the end of an attempt, and answers the command or tries it further.
     pub fn attempt_ended(self, router: &mut Router, end: AttemptEnd, out: &mut dyn Actions) {
         let now = out.now();
--- a/crates/comethitch-policy/src/policy/mod.rs
+++ b/crates/comethitch-policy/src/policy/mod.rs
@@ -4,7 +4,7 @@
 //! What happens to a command later is a call on the [`Handle`] that this returns.
 //!
 //! `admission` queues and rejects commands, `selection` chooses a host, `retries` says what may be sent
-//! again, `attempts` sends and takes in ends, `load` limits the work at each host, `health` checks hosts and
+//! again, `attempts` sends and takes in ends, `send_guard` checks what is about to leave, `load` limits the work at each host, `health` checks hosts and
 //! ejects outliers, `group` follows failovers, `endpoints` applies the endpoint list, `host_clock` tells
 //! what time it is at the hosts. The mechanism is described in `docs/design.md`; "Beyond the design" marks departures from it.
 
@@ -17,6 +17,7 @@
 mod load;
 mod retries;
 mod selection;
+mod send_guard;
 
 pub(crate) use host_clock::HostClock;
 
--- a/crates/comethitch-policy/tests/scenarios.rs
+++ b/crates/comethitch-policy/tests/scenarios.rs
@@ -371,7 +371,7 @@
 
     fn check_delayed(&mut self, (id, attempt): (CommandId, u16), wanted: bool) -> Result<(), String> {
         let (handle, router, out) = self.command(id)?;
-        let may_send = handle.may_still_send(router, attempt, out.now);
+        let may_send = handle.check_send(router, attempt, out.now);
         if may_send == wanted { Ok(()) } else { Err(format!("may be sent: {may_send}")) }
     }
 
--- a/crates/comethitchd/src/protocols/attempt.rs
+++ b/crates/comethitchd/src/protocols/attempt.rs
@@ -6,10 +6,36 @@
 use crate::state::pending_commands::Statement;
 use crate::state::protocol::AttemptResult;
 use crate::state::router_state::RouterState;
-use comethitch_policy::time::Duration;
-use comethitch_policy::{CommandId, Host};
+use crate::state::socket::Socket;
+use comethitch_policy::time::{Duration, Timestamp};
+use comethitch_policy::{CommandId, Host, SendRefusal};
 use std::future::Future;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
+
+/// Why an attempt was not sent although a connection was there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SendRefused {
+    /// Its client has closed its connection, or its sending half.
+    #[error("the client has gone")]
+    ClientGone,
+    /// The host takes the request in so slowly that what it was told of the time left is no longer true.
+    #[error("the host reads too slowly")]
+    HostReadsSlowly,
+    /// The policy does not want it sent any more.
+    #[error(transparent)]
+    Policy(#[from] SendRefusal),
+}
+
+impl SendRefused {
+    /// The name in logs and counts.
+    pub fn name(self) -> &'static str {
+        match self {
+            SendRefused::ClientGone => "client_gone",
+            SendRefused::HostReadsSlowly => "host_reads_slowly",
+            SendRefused::Policy(refusal) => refusal.name(),
+        }
+    }
+}
 
 /// One attempt of a command.
 pub struct Attempt {
@@ -17,23 +43,57 @@
     pub state: Rc<RouterState>,
     /// The host that it goes to.
     pub host: Host,
-    /// After this long it is abandoned.
-    pub timeout: Duration,
+    /// When its client stops waiting.
+    pub deadline: Timestamp,
     /// The command's statement.
     pub statement: Rc<Statement>,
     /// The host's answer, if it becomes large.
     pub streamed_answer: StreamedAnswer,
+    client: Weak<Socket>,
     command: CommandId,
     number: u16,
 }
 
 impl Attempt {
-    /// Whether the policy still wants it sent. A connection may take long to establish, so that another attempt may have
-    /// answered meanwhile.
-    pub fn may_still_send(&self) -> bool {
+    /// How long its client waits from now on.
+    pub fn time_left(&self) -> Duration {
+        self.deadline - self.state.clock.now()
+    }
+
+    /// Whether it may leave now: its client is still there, and the policy still wants it sent. A connection may take
+    /// long to come up, a host may read slowly, and the process may have stood still.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub fn check_send(&self) -> Result<(), SendRefused> {
+        let client = self.client.upgrade();
+        if client.is_none_or(|client| client.has_ended()) {
+            return Err(SendRefused::ClientGone);
+        }
+        let router = self.state.router.borrow();
+        let handle = router.handle(self.command).ok_or(SendRefusal::CommandFinished)?;
+        Ok(handle.check_send(&router, self.number, self.state.clock.now())?)
+    }
+
+    /// Counts a rule that was broken by its last byte's leaving just now, although it was checked: the process may have
+    /// been held up in between.
+    pub fn verify_sent(&self) {
         let router = self.state.router.borrow();
         let handle = router.handle(self.command);
-        handle.is_some_and(|handle| handle.may_still_send(&router, self.number, self.state.clock.now()))
+        let violation =
+            handle.and_then(|handle| handle.violation_of_sent(&router, self.number, self.state.clock.now()));
+        if let Some(violation) = violation {
+            self.state.record_violation(violation.name(), &self.statement.client_id);
+        }
+    }
+
+    /// Counts and logs that it was not sent.
+    pub fn record_refused(&self, refused: SendRefused) {
+        let reason = refused.name();
+        self.state.metrics.sends_refused.increment(reason);
+        let id = &self.statement.client_id;
+        let host = self.state.endpoints.borrow().name(self.host).to_string();
+        log::debug!(id, host, attempt = self.number, reason; "attempt not sent");
     }
 }
 
@@ -53,9 +113,10 @@
     let attempt = Rc::new(Attempt {
         state: state.clone(),
         host,
-        timeout,
+        deadline: state.clock.now() + timeout,
         statement,
         streamed_answer: StreamedAnswer::new(state, command, number),
+        client: commands.client(command),
         command,
         number,
     });
--- a/crates/comethitchd/src/protocols/client_connection/disconnect.rs
+++ b/crates/comethitchd/src/protocols/client_connection/disconnect.rs
@@ -12,6 +12,9 @@
     /// The router closes the connection while nothing is owed to the client.
     #[error("closed between two commands")]
     Closing,
+    /// The end of an answer that was being streamed did not come: that the connection ends tells the client so.
+    #[error("closed within an answer")]
+    BrokenAnswer,
     /// The client has broken the protocol.
     #[error("{0}")]
     ProtocolViolation(&'static str),
--- a/crates/comethitchd/src/protocols/client_connection/mod.rs
+++ b/crates/comethitchd/src/protocols/client_connection/mod.rs
@@ -9,18 +9,23 @@
 pub use disconnect::{ClosingError, Disconnect};
 
 use crate::stages::admit::{AdmissionError, AdmittedCommand, StatementError, StatementRequest, admit};
+use crate::stages::policy_driver;
 use crate::state::arrivals::Arrivals;
 use crate::state::buffer::Buffer;
 use crate::state::client_registry::ConnectionPhase;
 use crate::state::clock::after;
 use crate::state::descriptors::DescriptorPermit;
+use crate::state::pending_commands::Reply;
 use crate::state::router_state::RouterState;
 use crate::state::signals::{CloseRequest, ConnectionSignal};
 use crate::state::socket::Socket;
+use async_channel::Receiver;
 use async_io::Async;
+use comethitch_policy::CommandId;
 use comethitch_policy::time::Timestamp;
 use comethitch_statement::assign::Arguments;
 use futures_lite::{AsyncWriteExt, FutureExt};
+use std::cell::Cell;
 use std::io;
 use std::net::{IpAddr, TcpStream};
 use std::rc::Rc;
@@ -42,7 +47,9 @@
     pub number: u32,
     /// Asks this connection to close, or cancels its command.
     pub signal: Rc<ConnectionSignal>,
-    stream: Socket,
+    stream: Rc<Socket>,
+    /// An answer is owed to a command that was submitted.
+    owes_answer: Cell<bool>,
     /// A number for the client's machine, whose connections share one budget for parsing.
     origin: u64,
     /// When the last byte arrived that was consumed.
@@ -72,7 +79,7 @@
     pub fn new(
         state: Rc<RouterState>, stream: Async<TcpStream>, permit: DescriptorPermit, max_buffer_bytes: usize,
     ) -> ClientConnection {
-        let stream = Socket::new(stream);
+        let stream = Rc::new(Socket::new(stream));
         let arrived = state.now();
         let (number, signal) = state.clients.register(arrived);
         let buffer = Buffer::new(max_buffer_bytes, &state.memory);
@@ -83,6 +90,7 @@
             number,
             signal,
             stream,
+            owes_answer: Cell::new(false),
             origin,
             arrived,
             arrivals: Arrivals::default(),
@@ -96,6 +104,7 @@
     /// Records that a command was answered.
     pub fn record_answer(&mut self) {
         self.has_been_answered = true;
+        self.owes_answer.set(false);
         self.rejected_in_row = 0;
     }
 
@@ -140,9 +149,13 @@
         Ok(Admission::Admitted(admitted))
     }
 
-    /// Records that a command of this client is in progress.
-    pub fn set_busy(&self) {
+    /// Hands a command of this client to the policy; see [`policy_driver::submit`].
+    pub fn submit(
+        &self, command: AdmittedCommand, text: Vec<u8>, message_kind: u8,
+    ) -> (CommandId, Receiver<Reply>) {
         self.set_phase(ConnectionPhase::Busy);
+        self.owes_answer.set(true);
+        policy_driver::submit(&self.state, command, text, message_kind, Rc::downgrade(&self.stream))
     }
 
     fn set_phase(&self, phase: ConnectionPhase) {
@@ -165,7 +178,7 @@
     /// # Errors
     /// If the connection breaks, or the time runs out.
     pub async fn write(&self, bytes: &[u8]) -> Result<(), Disconnect> {
-        let mut stream = &self.stream;
+        let mut stream = &*self.stream;
         let timed_out = Err(io::ErrorKind::TimedOut.into());
         let limit = self.state.longest_timeout.to_std();
         Ok(stream.write_all(bytes).or(after(limit, timed_out)).await?)
@@ -173,6 +186,7 @@
 
     /// Ends the connection. `encode` gives the protocol's message for an error that is sent to the client.
     pub async fn close(mut self, disconnect: Disconnect, encode: impl Fn(ClosingError) -> Vec<u8>) {
+        self.check_close(&disconnect);
         match disconnect {
             Disconnect::ProtocolViolation(message) => {
                 self.state.metrics.invalid_requests.increment();
@@ -186,12 +200,27 @@
             }
             Disconnect::Io(error) => log::debug!("client {}: {error}", self.number),
             // All is answered. The client sees the end of the stream, and sends again what comes now.
-            Disconnect::Closing => self.close_gracefully(Vec::new(), "closed between two commands").await,
+            Disconnect::Closing | Disconnect::BrokenAnswer => {
+                self.close_gracefully(Vec::new(), &disconnect.to_string()).await;
+            }
             Disconnect::ClientGone => {}
         }
         self.state.clients.unregister(self.number);
     }
 
+    /// Counts a close of the router's own that leaves a command without its answer, unless the answer was being
+    /// streamed: its client sees that it is not whole.
+    fn check_close(&self, disconnect: &Disconnect) {
+        let own_close = match disconnect {
+            Disconnect::ProtocolViolation(_) | Disconnect::Closing => true,
+            Disconnect::Io(error) => error.kind() == io::ErrorKind::OutOfMemory,
+            Disconnect::ClientGone | Disconnect::BrokenAnswer => false,
+        };
+        if own_close && self.owes_answer.get() {
+            self.state.record_violation("closed_without_answer", &format!("client {}", self.number));
+        }
+    }
+
     /// Sends the last bytes, if there are any, and shuts the sending half down. What the client still sends is discarded
     /// for a while and never executed: closed with bytes unread, the connection would be reset, and the client
     /// might never read its error, or its last answer.
--- a/crates/comethitchd/src/protocols/client_connection/waiting.rs
+++ b/crates/comethitchd/src/protocols/client_connection/waiting.rs
@@ -46,7 +46,7 @@
                 return Err(Disconnect::ProtocolViolation("the rest of a message did not come"));
             }
             // Something came at the last moment.
-            Err(Disconnect::Closing) if self.stream.has_input() => self.buffer.fill(&self.stream).await?,
+            Err(Disconnect::Closing) if self.stream.has_input() => self.buffer.fill(&*self.stream).await?,
             filled => filled?,
         };
         if length == 0 {
@@ -58,7 +58,7 @@
 
     /// Reads once, unless the connection is asked to close before that.
     async fn fill_unless_closed(&mut self, close_request: CloseRequest) -> Result<usize, Disconnect> {
-        let stream = &self.stream;
+        let stream = &*self.stream;
         let signal = &self.signal;
         let fill = async { Ok(self.buffer.fill(stream).await?) };
         let close = async {
@@ -129,6 +129,6 @@
             self.wait_for_disconnect().await;
             return Ok(0);
         }
-        self.buffer.fill(&self.stream).await
+        self.buffer.fill(&*self.stream).await
     }
 }
--- a/crates/comethitchd/src/protocols/connect.rs
+++ b/crates/comethitchd/src/protocols/connect.rs
@@ -38,6 +38,7 @@
     let open = async {
         let stream = Socket::connect(address).await.map_err(|error| connect_error(&error))?;
         state.metrics.connections_opened.increment();
+        stream.limit_send_buffer();
         let mut connection = HostConnection {
             stream,
             buffer: Buffer::new(options.max_buffer_bytes, &state.memory),
--- a/crates/comethitchd/src/protocols/exchange.rs
+++ b/crates/comethitchd/src/protocols/exchange.rs
@@ -3,26 +3,32 @@
 //!
 //! What the bytes mean is the protocol's: it encodes the request, and implements [`Response`].
 
-use crate::protocols::attempt::Attempt;
+use crate::protocols::attempt::{Attempt, SendRefused};
 use crate::protocols::streamed_answer::StreamedAnswer;
 use crate::state::buffer::Buffer;
 use crate::state::host_connection::{ConnectionError, HostConnection};
 use crate::state::router_state::RouterState;
+use crate::state::socket::WriteError;
 use async_io::Timer;
 use comethitch_policy::Host;
-use comethitch_policy::time::Duration;
-use futures_lite::{AsyncWriteExt, FutureExt};
+use comethitch_policy::time::{Duration, Timestamp};
+use futures_lite::FutureExt;
 use std::cell::Cell;
 use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
+/// A request holds how much time its client had left as it was encoded, and may be told 0.15 s more than that: one whose
+/// last byte has not left by then is given up.
+const WRITE_LIMIT: Duration = Duration::from_millis(100);
+
 /// One request and its response, of an attempt or a health check.
 pub struct Exchange<'a> {
     /// The router.
     pub state: &'a RouterState,
     host: Host,
-    timeout: Duration,
+    /// When it is given up.
+    ends_at: Timestamp,
     /// None for a health check.
     attempt: Option<&'a Attempt>,
     /// All of the request was written.
@@ -35,7 +41,7 @@
         Exchange {
             state: &attempt.state,
             host: attempt.host,
-            timeout: attempt.timeout,
+            ends_at: attempt.deadline,
             attempt: Some(attempt),
             sent: Cell::new(false),
         }
@@ -43,8 +49,8 @@
 
     /// The exchange of a health check, which may take no longer than opening a connection.
     pub fn for_health_check(state: &'a RouterState, host: Host) -> Exchange<'a> {
-        let timeout = state.config.deployment.connect_timeout;
-        Exchange { state, host, timeout, attempt: None, sent: Cell::new(false) }
+        let ends_at = state.clock.now() + state.config.deployment.connect_timeout;
+        Exchange { state, host, ends_at, attempt: None, sent: Cell::new(false) }
     }
 
     /// Where a large answer goes while it still comes. The answer to a health check is never streamed.
@@ -61,7 +67,7 @@
         &self, exchange: impl Future<Output = Result<T, ConnectionError>>,
     ) -> Result<T, ConnectionError> {
         let timeout = async {
-            Timer::after(self.timeout.to_std()).await;
+            Timer::after((self.ends_at - self.state.clock.now()).to_std()).await;
             if let Some(streamed) = self.streamed_answer() {
                 streamed.wait_until_stalled(self.state.longest_timeout.to_std()).await;
             }
@@ -90,25 +96,45 @@
                 Some(idle) => idle,
                 None => connect(address).await.inspect_err(|error| self.record_connect_error(error))?,
             };
-            if !self.may_still_send() {
+            if let Err(refused) = self.check_send() {
                 self.release(connection);
-                return Err(ConnectionError::NotSent);
+                return Err(self.refused(refused));
             }
+            let encoded_at = self.state.clock.now();
             let request = encode(&connection);
-            match (&connection.stream).write_all(&request).await {
+            match connection.stream.write_checked(&request, || self.check_write(encoded_at)).await {
                 Ok(()) => {
                     self.sent.set(true);
+                    self.attempt.inspect(|attempt| attempt.verify_sent());
                     return Ok(connection);
                 }
+                // Its last byte has not left, and never will.
+                Err(WriteError::Refused(refused)) => return Err(self.refused(refused)),
                 // The host had closed an idle connection: nothing of this has run, another one will do.
-                Err(_) if !is_new => {}
-                Err(_) => return Err(ConnectionError::BrokenBeforeSend),
+                Err(WriteError::Io(_)) if !is_new => {}
+                Err(WriteError::Io(_)) => return Err(ConnectionError::BrokenBeforeSend),
             }
         }
     }
 
-    fn may_still_send(&self) -> bool {
-        self.attempt.is_none_or(Attempt::may_still_send)
+    fn check_send(&self) -> Result<(), SendRefused> {
+        self.attempt.map_or(Ok(()), Attempt::check_send)
+    }
+
+    /// Checks a request of which a part may have been written since it was encoded.
+    fn check_write(&self, encoded_at: Timestamp) -> Result<(), SendRefused> {
+        if self.state.clock.now() - encoded_at > WRITE_LIMIT {
+            return Err(SendRefused::HostReadsSlowly);
+        }
+        self.check_send()
+    }
+
+    fn refused(&self, refused: SendRefused) -> ConnectionError {
+        self.attempt.inspect(|attempt| attempt.record_refused(refused));
+        match refused {
+            SendRefused::HostReadsSlowly => ConnectionError::BrokenBeforeSend,
+            SendRefused::ClientGone | SendRefused::Policy(_) => ConnectionError::NotSent,
+        }
     }
 
     fn record_connect_error(&self, error: &ConnectionError) {
--- a/crates/comethitchd/src/protocols/postgres/backend.rs
+++ b/crates/comethitchd/src/protocols/postgres/backend.rs
@@ -50,12 +50,12 @@
     state: &Rc<RouterState>, command: CommandId, host: Host, timeout: Duration,
 ) -> Option<u16> {
     attempt::start(state, command, host, timeout, |attempt| async move {
-        let query = encode_query(&attempt.statement, attempt.timeout);
-        run(&Exchange::for_attempt(&attempt), &query).await.into()
+        let encode = || encode_query(&attempt.statement, attempt.time_left());
+        run(&Exchange::for_attempt(&attempt), encode).await.into()
     })
 }
 
-/// Encodes the statement as it came, but with this attempt's timeout where the client's own stands.
+/// Encodes the statement as it came, but with the time left where the client's own timeout stands.
 fn encode_query(statement: &Statement, timeout: Duration) -> Vec<u8> {
     let text = &statement.text;
     let mut query = Vec::with_capacity(text.len() + 16);
@@ -75,7 +75,7 @@
     health_check::start(state, host, move |state| async move {
         let mut query = Vec::new();
         postgres::put_query(&mut query, &[HEALTH_CHECK_QUERY]);
-        let response = run(&Exchange::for_health_check(&state, host), &query).await;
+        let response = run(&Exchange::for_health_check(&state, host), || query.clone()).await;
         let value = response.as_ref().ok().and_then(HostResponse::single_value);
         let report = value.map(|text| host_report::parse_load_report(&text));
         let result = AttemptResult::from(response);
@@ -84,14 +84,16 @@
 }
 
 /// Sends a query and reads its response, within the exchange's timeout.
-async fn run(exchange: &Exchange<'_>, query: &[u8]) -> Result<HostResponse, ConnectionError> {
-    exchange.within_timeout(send_and_read(exchange, query)).await
+async fn run(exchange: &Exchange<'_>, encode: impl Fn() -> Vec<u8>) -> Result<HostResponse, ConnectionError> {
+    exchange.within_timeout(send_and_read(exchange, encode)).await
 }
 
-async fn send_and_read(exchange: &Exchange<'_>, query: &[u8]) -> Result<HostResponse, ConnectionError> {
+async fn send_and_read(
+    exchange: &Exchange<'_>, encode: impl Fn() -> Vec<u8>,
+) -> Result<HostResponse, ConnectionError> {
     let state = exchange.state;
     let connect = async |address| connect_to_host(state, address).await;
-    let mut connection = exchange.send(connect, |_| query.to_vec()).await?;
+    let mut connection = exchange.send(connect, |_| encode()).await?;
     let has_rules = state.admission.borrow().is_some();
     let shape = if has_rules { ResponseShape::AnyRows } else { ResponseShape::SingleValue };
     let streamed = exchange.streamed_answer().filter(|_| has_rules);
--- a/crates/comethitchd/src/protocols/postgres/client.rs
+++ b/crates/comethitchd/src/protocols/postgres/client.rs
@@ -199,11 +199,10 @@
     async fn run_command(
         &mut self, command: AdmittedCommand, text: Vec<u8>, out: &mut Vec<u8>,
     ) -> Result<(), Disconnect> {
-        self.connection.set_busy();
         let signal = self.connection.signal.clone();
         signal.reset_cancel();
         let state = self.connection.state.clone();
-        let (id, reply) = policy_driver::submit(&state, command, text, frontend::QUERY);
+        let (id, reply) = self.connection.submit(command, text, frontend::QUERY);
         let cancelled = async {
             signal.wait_for_cancel().await;
             Ok(Reply::Cancelled)
@@ -235,7 +234,7 @@
                 ValuePart::End => return Ok(()),
             }
         }
-        Err(Disconnect::Closing)
+        Err(Disconnect::BrokenAnswer)
     }
 }
 
--- a/crates/comethitchd/src/protocols/tds/client/mod.rs
+++ b/crates/comethitchd/src/protocols/tds/client/mod.rs
@@ -197,8 +197,7 @@
         let framing = statement.framing;
         let shape = command.shape.as_ref();
         let is_idempotent = shape.is_some_and(|shape| shape.verdict.effect.may_repeat());
-        self.connection.set_busy();
-        let (id, reply) = policy_driver::submit(&state, command, statement.payload, statement.kind.code());
+        let (id, reply) = self.connection.submit(command, statement.payload, statement.kind.code());
         let is_attention = |unread: &[u8]| unread.first() == Some(&Kind::Attention.code());
         let waited = self.connection.wait_until_interrupted(reply.recv(), Some(is_attention)).await;
         let end = match waited {
@@ -236,7 +235,7 @@
             match parts.recv().await {
                 Ok(ValuePart::Bytes(bytes)) => tokens.extend(bytes),
                 Ok(ValuePart::End) => break,
-                Err(_) => return Err(Disconnect::Closing),
+                Err(_) => return Err(Disconnect::BrokenAnswer),
             }
         }
         if let ReplyFraming::CallReturningHandle(handle) = framing {
--- a/crates/comethitchd/src/stages/policy_driver.rs
+++ b/crates/comethitchd/src/stages/policy_driver.rs
@@ -6,6 +6,7 @@
 use crate::state::pending_commands::{Reply, Statement};
 use crate::state::protocol::AttemptResult;
 use crate::state::router_state::RouterState;
+use crate::state::socket::Socket;
 use async_channel::Receiver;
 use async_io::Timer;
 use comethitch_policy::time::Duration;
@@ -13,7 +14,11 @@
     Action, ActionQueue, Actions, AttemptEnd, AttemptOutcome, CommandId, CommandRequest, Host, HostReport,
     RejectionReason, Router,
 };
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
+
+/// After a stall of the event loop, what came meanwhile is read for this long before the policy acts on the time:
+/// clients may have gone or cancelled, hosts may have answered.
+const READ_AFTER_STALL: std::time::Duration = std::time::Duration::from_millis(2);
 
 /// Calls into the policy, then carries out what it decided.
 pub fn call(state: &Rc<RouterState>, call: impl FnOnce(&mut Router, &mut ActionQueue)) {
@@ -84,6 +89,9 @@
     let woken_state = state.clone();
     let tick = async move {
         Timer::after(delay.to_std()).await;
+        if woken_state.stalls.has_just_stalled(woken_state.clock.now()) {
+            Timer::after(READ_AFTER_STALL).await;
+        }
         call(&woken_state, |router, actions| router.tick(actions));
     };
     state.tasks.spawn(tick).detach();
@@ -120,15 +128,15 @@
 }
 
 /// Hands a command to the policy; its final answer comes through the channel. `text` and `message_kind` are the
-/// statement as the backend protocol sends it.
+/// statement as the backend protocol sends it; nothing leaves for it once `client` has ended.
 pub fn submit(
-    state: &Rc<RouterState>, admitted: AdmittedCommand, text: Vec<u8>, message_kind: u8,
+    state: &Rc<RouterState>, admitted: AdmittedCommand, text: Vec<u8>, message_kind: u8, client: Weak<Socket>,
 ) -> (CommandId, Receiver<Reply>) {
     state.metrics.requests_received.increment();
     let AdmittedCommand { client_id, timeout_range, shape, group, shard, session, after, deadline } =
         admitted;
     let statement = Statement { text, message_kind, client_id, timeout_range, shape };
-    let (id, reply) = state.commands.borrow_mut().register(statement);
+    let (id, reply) = state.commands.borrow_mut().register(statement, client);
     call(state, |router, actions| {
         let now = actions.now();
         let timeout = deadline - now;
--- a/crates/comethitchd/src/state/metrics.rs
+++ b/crates/comethitchd/src/state/metrics.rs
@@ -71,6 +71,10 @@
     pub accepts_failed: Counter,
     /// Attempts that have ended, by outcome.
     pub attempts: CounterByKind<AttemptOutcome>,
+    /// Attempts that were not sent although a connection was there, by the name of the reason.
+    pub sends_refused: CounterByKind<&'static str>,
+    /// Rules that the router found broken by itself, by name.
+    pub violations: CounterByKind<&'static str>,
     /// Commands that the policy rejected, by the name of its reason.
     pub rejections: CounterByKind<&'static str>,
     /// Attempts and health checks that were neither answered nor cancelled, by host.
@@ -98,6 +102,11 @@
         let attempts = attempts.map(|(outcome, count)| (attempts_name(outcome).to_string(), count));
         let rejections = self.rejections.take().into_iter();
         let rejections = rejections.map(|(reason, count)| (format!("rejected_{reason}"), count));
+        let refused = self.sends_refused.take().into_iter();
+        let refused = refused.map(|(reason, count)| (format!("sends_refused_{reason}"), count));
+        let violations = self.violations.take().into_iter();
+        let violations = violations.map(|(rule, count)| (format!("rule_broken_{rule}"), count));
+        let rejections = rejections.chain(refused).chain(violations);
         counts.chain(attempts).chain(rejections).filter(|(_, count)| *count > 0).collect()
     }
 }
--- a/crates/comethitchd/src/state/pending_commands.rs
+++ b/crates/comethitchd/src/state/pending_commands.rs
@@ -1,5 +1,6 @@
 //! The commands in progress: received, and not yet answered or with an attempt still in flight.
 
+use crate::state::socket::Socket;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use comethitch_policy::CommandId;
@@ -7,7 +8,7 @@
 use comethitch_statement::admission::KnownShape;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 /// The statement of a command, as it is sent to hosts.
 pub struct Statement {
@@ -51,6 +52,8 @@
 
 struct Command {
     statement: Rc<Statement>,
+    /// The connection of its client, while that is open.
+    client: Weak<Socket>,
     /// None once the final answer is given.
     reply: Option<Sender<Reply>>,
     /// The task of each attempt, by its number; none once it has ended.
@@ -76,13 +79,14 @@
 }
 
 impl PendingCommands {
-    /// Registers a command; its final answer comes through the channel.
-    pub fn register(&mut self, statement: Statement) -> (CommandId, Receiver<Reply>) {
+    /// Registers a command of a client; its final answer comes through the channel.
+    pub fn register(&mut self, statement: Statement, client: Weak<Socket>) -> (CommandId, Receiver<Reply>) {
         self.last_id = self.last_id.wrapping_add(1);
         self.unanswered.insert(statement.client_id.clone());
         let (sender, receiver) = async_channel::bounded(1);
         let command = Command {
             statement: Rc::new(statement),
+            client,
             reply: Some(sender),
             attempts: Vec::new(),
             host_error: None,
@@ -107,6 +111,11 @@
         self.commands.get(&id).map(|command| command.statement.clone())
     }
 
+    /// The connection of a command's client.
+    pub fn client(&self, id: CommandId) -> Weak<Socket> {
+        self.commands.get(&id).map(|command| command.client.clone()).unwrap_or_default()
+    }
+
     /// The number of the command's next attempt, counted from 0.
     pub fn next_attempt(&self, id: CommandId) -> u16 {
         self.commands.get(&id).map_or(0, |command| command.attempts.len() as u16)
--- a/crates/comethitchd/src/state/router_state.rs
+++ b/crates/comethitchd/src/state/router_state.rs
@@ -149,6 +149,12 @@
         log::info!(id, reason, answer = "throttled"; "request rejected");
     }
 
+    /// Counts and logs that a rule was broken: a check that ran after the fact found it.
+    pub fn record_violation(&self, rule: &'static str, subject: &str) {
+        self.metrics.violations.increment(rule);
+        log::error!(rule, subject; "rule broken");
+    }
+
     /// Whether as many commands are in progress as connections allow. Past that, clients' connections are still
     /// accepted, and their commands throttled at once.
     pub fn at_command_limit(&self) -> bool {
--- a/crates/comethitchd/src/state/socket.rs
+++ b/crates/comethitchd/src/state/socket.rs
@@ -9,7 +9,8 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
-use std::cell::RefCell;
+use rustix::net::sockopt;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io::{self, ErrorKind, Read};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
@@ -17,6 +18,10 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+/// A request of more bytes than this may not fit into what its host has room for.
+const LONG_REQUEST_BYTES: usize = 4096;
+/// The system holds about so much back of what was written, in bytes.
+const SEND_BUFFER_BYTES: usize = 16 * 1024;
 /// How long is waited before each further try to open a connection that met a momentary failure of this machine.
 const CONNECT_RETRY_WAITS: [Duration; 5] = [
     Duration::from_millis(1),
@@ -69,14 +74,18 @@
 
 /// A TCP connection.
 #[derive(Debug)]
-pub struct Socket(Async<TcpStream>);
+pub struct Socket {
+    stream: Async<TcpStream>,
+    /// A long request was written, and nothing was read since: the system may still hold a part of it.
+    unconfirmed: Cell<bool>,
+}
 
 impl Socket {
     /// Takes over an open connection; small writes go out at once.
     pub fn new(stream: Async<TcpStream>) -> Socket {
         // Without it, answers are late, not wrong.
         let _ = stream.get_ref().set_nodelay(true);
-        Socket(stream)
+        Socket { stream, unconfirmed: Cell::new(false) }
     }
 
     /// Connects to an address.
@@ -95,7 +104,7 @@
 
     /// The address of the other end.
     pub fn peer_ip(&self) -> Option<IpAddr> {
-        self.0.get_ref().peer_addr().ok().map(|address| address.ip())
+        self.stream.get_ref().peer_addr().ok().map(|address| address.ip())
     }
 
     /// Looks at bytes that wait to be read, without waiting for any; 0 is the end of the stream.
@@ -103,7 +112,7 @@
     /// # Errors
     /// `WouldBlock` if none wait, and the connection's own errors.
     pub fn peek(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        retry_interrupted(|| self.0.get_ref().peek(buffer))
+        retry_interrupted(|| self.stream.get_ref().peek(buffer))
     }
 
     /// Whether bytes wait to be read.
@@ -129,7 +138,7 @@
 
     fn is_hung_up(&self) -> bool {
         let hang_up = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        let mut polled = [PollFd::new(&self.0, hang_up)];
+        let mut polled = [PollFd::new(&self.stream, hang_up)];
         let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
         let ready = retry_interrupted(|| Ok(poll(&mut polled, Some(&at_once))?));
         ready.is_ok_and(|number| number > 0) && polled[0].revents().intersects(hang_up)
@@ -141,8 +150,8 @@
     /// The connection's own.
     pub async fn read_into(&self, buffer: &RefCell<Vec<u8>>) -> io::Result<usize> {
         loop {
-            self.0.readable().await?;
-            match retry_interrupted(|| self.0.get_ref().read(&mut buffer.borrow_mut())) {
+            self.stream.readable().await?;
+            match retry_interrupted(|| self.stream.get_ref().read(&mut buffer.borrow_mut())) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 result => return result,
             }
@@ -166,15 +175,22 @@
             })
             .await?;
         }
+        self.unconfirmed.set(bytes.len() > LONG_REQUEST_BYTES);
         Ok(())
     }
 
+    /// Limits how much that was written the system holds back from a peer that reads slowly.
+    pub fn limit_send_buffer(&self) {
+        // Without the limit, a check before a write says less of when its last byte leaves.
+        let _ = sockopt::set_socket_send_buffer_size(&self.stream, SEND_BUFFER_BYTES);
+    }
+
     /// Ends the sending half.
     ///
     /// # Errors
     /// If the connection is broken.
     pub fn shut_down_write(&self) -> io::Result<()> {
-        self.0.get_ref().shutdown(Shutdown::Write)
+        self.stream.get_ref().shutdown(Shutdown::Write)
     }
 }
 
@@ -183,18 +199,30 @@
         self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            match ready!(Pin::new(&mut &self.0).poll_read(context, buffer)) {
+            match ready!(Pin::new(&mut &self.stream).poll_read(context, buffer)) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                result => return Poll::Ready(result),
+                result => {
+                    self.unconfirmed.set(false);
+                    return Poll::Ready(result);
+                }
             }
         }
     }
 }
 
+/// A request that is given up is not delivered behind its connection's end: what the system still holds of it is dropped.
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.unconfirmed.get() {
+            let _ = sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncWrite for &Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         loop {
-            match ready!(Pin::new(&mut &self.0).poll_write(context, bytes)) {
+            match ready!(Pin::new(&mut &self.stream).poll_write(context, bytes)) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 result => return Poll::Ready(result),
             }
--- a/crates/comethitchd/src/state/stall_detector.rs
+++ b/crates/comethitchd/src/state/stall_detector.rs
@@ -30,10 +30,15 @@
         self.tick.set(tick);
     }
 
+    /// Whether the event loop has not run for more than two ticks up to now. Takes no note of the reading.
+    pub fn has_just_stalled(&self, now: Timestamp) -> bool {
+        now - self.last_reading.get() > self.tick.get() * 2
+    }
+
     /// Takes note of a reading of the clock, and logs a stall before it.
     pub fn observe(&self, now: Timestamp) {
         let from = self.last_reading.get();
-        if now - from > self.tick.get() * 2 {
+        if self.has_just_stalled(now) {
             self.last_stall.set(Stall { from, until: now });
             log::warn!("event loop stalled for {} ms", (now - from).as_micros() / 1_000);
         }
