A randomized soak of real processes, whose first find is a log that can't be written

Its oracle is the ledger, with time limits as close as the lab itself is punctual (measured every 5 ms), two more rules (time told to hosts, attempts for clients that have gone), and what the routers' own checks log.

--- a/crates/comethitch-lab/shim/system_calls.c
+++ b/crates/comethitch-lab/shim/system_calls.c
@@ -12,7 +12,6 @@
  *   accept=N         one in N accepts fails (ECONNABORTED, ENFILE, ENOBUFS, EMFILE in turn)
  *   connect=N        one in N connects fails (EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EINTR in turn)
  *   wait=N           one in N waits ends with EINTR
- *   broken=N         one in N reads of sockets fails with ETIMEDOUT or EHOSTUNREACH, and the connection is shut down
  *   hold=N           one in N writes of sockets is held up first ...
  *   hold_ms=N        ... for so long
  *   stderr=N         one in N writes to standard error fails with ENOSPC or EIO
@@ -38,12 +37,12 @@
 #include <unistd.h>
 
 enum setting {
-    SEED, INTERRUPT, SHORT, SOCKET, SOCKET_FIRST, ACCEPT, CONNECT, WAIT, BROKEN, HOLD, HOLD_MS, STDERR, WALL_MS,
+    SEED, INTERRUPT, SHORT, SOCKET, SOCKET_FIRST, ACCEPT, CONNECT, WAIT, HOLD, HOLD_MS, STDERR, WALL_MS,
     MEND_MS, STEP_MS, STEP_EVERY_MS, FROM_MS, UNTIL_MS, SETTINGS
 };
 
 static const char *const names[SETTINGS] = {
-    "seed", "interrupt", "short", "socket", "socket_first", "accept", "connect", "wait", "broken", "hold", "hold_ms",
+    "seed", "interrupt", "short", "socket", "socket_first", "accept", "connect", "wait", "hold", "hold_ms",
     "stderr", "wall_ms", "mend_ms", "step_ms", "step_every_ms", "from_ms", "until_ms"
 };
 
@@ -124,11 +123,6 @@
         errno = EINTR;
         return -1;
     }
-    if (!(flags & MSG_PEEK) && is_tcp(fd) && happens(BROKEN)) {
-        shutdown(fd, SHUT_RDWR);
-        errno = draw() % 2 ? ETIMEDOUT : EHOSTUNREACH;
-        return -1;
-    }
     if (!(flags & MSG_PEEK))
         length = shortened(fd, length);
     return syscall(SYS_recvfrom, fd, buffer, length, flags, NULL, NULL);
--- a/crates/comethitch-lab/src/arguments.rs
+++ b/crates/comethitch-lab/src/arguments.rs
@@ -18,6 +18,7 @@
     Live(LiveRun),
     Compare(Compare),
     Schema(Schema),
+    Soak(Soak),
 }
 
 /// Plays one trial, beside the baseline with perfect knowledge; ends with 1 if a rule was broken.
@@ -87,6 +88,27 @@
     pub chart: Option<PathBuf>,
 }
 
+/// Plays random trials with real processes, a seed each; ends with 1 if a rule was broken.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct Soak {
+    /// seeds, parted by commas, or the first and the last one, parted by two dots
+    #[argh(option, default = "String::from(\"1..5\")")]
+    pub seeds: String,
+    /// how many seconds clients send in each
+    #[argh(option, default = "8")]
+    pub seconds: u64,
+    /// the router's program; without it, the one beside this
+    #[argh(option)]
+    pub daemon: Option<PathBuf>,
+    /// a folder in which to keep the routers' files and logs, by seed
+    #[argh(option)]
+    pub logs: Option<PathBuf>,
+    /// print the trials as files for `live`, and play none
+    #[argh(switch)]
+    pub print: bool,
+}
+
 /// Prints the schema of a trial's file.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "schema")]
--- a/crates/comethitch-lab/src/error.rs
+++ b/crates/comethitch-lab/src/error.rs
@@ -49,6 +49,17 @@
         /// How long the trial waited.
         seconds: u64,
     },
+    /// A router ended before it was ready.
+    #[error("router {router} ended before it was ready: {status}")]
+    RouterEnded {
+        /// Its number.
+        router: usize,
+        /// How it ended.
+        status: std::process::ExitStatus,
+    },
+    /// The library of failing system calls can't be made.
+    #[error("system_calls: {0}")]
+    SystemCalls(#[source] io::Error),
     /// A host or the discovery server got no port.
     #[error("no port to listen on: {0}")]
     Listen(#[source] io::Error),
--- a/crates/comethitch-lab/src/fleet/faults.rs
+++ b/crates/comethitch-lab/src/fleet/faults.rs
@@ -23,7 +23,10 @@
                 self.kill_primaries(part, Duration::from_millis(after_ms));
             }
             // Refused before the trial began.
-            FaultKind::Stop { .. } | FaultKind::Links { .. } => {}
+            FaultKind::Stop { .. }
+            | FaultKind::Restart { .. }
+            | FaultKind::Reload { .. }
+            | FaultKind::Links { .. } => {}
         }
     }
 
--- a/crates/comethitch-lab/src/fleet/mod.rs
+++ b/crates/comethitch-lab/src/fleet/mod.rs
@@ -74,8 +74,15 @@
 
 /// Refuses what only real processes can play.
 fn check_playable(trial: &Trial) -> Result<(), PlayError> {
-    let needs_processes =
-        |fault: &Fault| matches!(fault.kind, FaultKind::Stop { .. } | FaultKind::Links { .. });
+    let needs_processes = |fault: &Fault| {
+        matches!(
+            fault.kind,
+            FaultKind::Stop { .. }
+                | FaultKind::Links { .. }
+                | FaultKind::Restart { .. }
+                | FaultKind::Reload { .. }
+        )
+    };
     if let Some(index) = trial.faults.iter().position(needs_processes) {
         return Err(PlayError::FaultNeedsProcesses { index });
     }
--- a/crates/comethitch-lab/src/ledger.rs
+++ b/crates/comethitch-lab/src/ledger.rs
@@ -20,6 +20,10 @@
 const LONGEST_LATENCY_MICROS: u64 = 600_000_000;
 /// Significant digits of latencies.
 const LATENCY_DIGITS: u8 = 3;
+/// By how much the time told to a host may exceed what its client has left.
+const TOLD_TIME_SLACK: Duration = Duration::from_millis(150);
+/// For how long after its client has gone an attempt may still begin.
+const CLIENT_GONE_GRACE: Duration = Duration::from_millis(100);
 /// The share of its bound from which the load of a warming host breaks the rule.
 const COLD_LOAD_LIMIT: f64 = 1.0;
 
@@ -66,6 +70,8 @@
     possible_runs: u32,
     /// Its router was killed or stopped while it was in flight: no answer is owed.
     router_lost: bool,
+    /// When its client closed its connection: no answer is owed, and nothing may begin soon after.
+    client_left: Option<Timestamp>,
 }
 
 impl CommandRecord {
@@ -74,7 +80,7 @@
     }
 
     fn is_owed_an_answer(&self, end: Timestamp) -> bool {
-        self.answer.is_none() && !self.router_lost && self.deadline < end
+        self.answer.is_none() && !self.router_lost && self.client_left.is_none() && self.deadline < end
     }
 }
 
@@ -135,6 +141,28 @@
         Ledger { slack, ..self }
     }
 
+    /// Sets by how much what is seen from outside may differ from what the router saw, from now on.
+    pub fn set_slack(&mut self, slack: Duration) {
+        self.slack = slack;
+    }
+
+    /// A command's client closed its connection.
+    pub fn client_left(&mut self, command: u64, at: Timestamp) {
+        if let Some(record) = self.commands.get_mut(&command) {
+            record.client_left = Some(at);
+        }
+    }
+
+    /// A host was told how much time a command's client has left.
+    pub fn time_told(&mut self, command: u64, told: Duration, at: Timestamp) {
+        let Some(record) = self.commands.get(&command) else { return };
+        let left = record.deadline - at;
+        if told > left + TOLD_TIME_SLACK + self.slack {
+            let description = format!("command {command} had {left:?} left, and its host was told {told:?}");
+            self.record_violation(Rule::ToldTime, description);
+        }
+    }
+
     /// Sets the start of the trial, which seconds are counted from.
     pub fn set_start(&mut self, start: Timestamp) {
         self.start = start;
@@ -167,8 +195,15 @@
     /// A router receives a command, of a request that is new or retried.
     pub fn command_received(&mut self, command: u64, request: Request, write: bool, deadline: Timestamp) {
         self.request_sent(request);
-        let record =
-            CommandRecord { request, write, deadline, answer: None, possible_runs: 0, router_lost: false };
+        let record = CommandRecord {
+            request,
+            write,
+            deadline,
+            answer: None,
+            possible_runs: 0,
+            router_lost: false,
+            client_left: None,
+        };
         self.commands.insert(command, record);
     }
 
@@ -194,6 +229,12 @@
         let exact = self.slack == Duration::ZERO;
         let after_answer = record.answer.as_ref().is_some_and(|answer| exact || at > answer.at + self.slack);
         let duplicate_write = record.write && record.may_have_run();
+        let gone_at = record.client_left.filter(|left| at > *left + CLIENT_GONE_GRACE + self.slack);
+        if let Some(left) = gone_at {
+            let description =
+                format!("command {command} was sent at {at:?}, its client had left at {left:?}");
+            self.record_violation(Rule::ClientGone, description);
+        }
         if after_answer {
             let description = format!("command {command} was sent at {at:?}, after its final answer");
             self.record_violation(Rule::OneFinalAnswer, description);
--- a/crates/comethitch-lab/src/ledger/rule.rs
+++ b/crates/comethitch-lab/src/ledger/rule.rs
@@ -15,6 +15,14 @@
     SlowStart,
     /// No read is answered from data past the staleness bound.
     Staleness,
+    /// A host is told no more time than the client has left.
+    ToldTime,
+    /// Nothing begins for a client that has gone.
+    ClientGone,
+    /// A client that stops within a request gets its error, or is closed, in time.
+    StalledClient,
+    /// A router's own checks find no broken rule.
+    OwnCheck,
     /// Every process starts.
     ProcessStart,
     /// No router process ends by itself.
@@ -29,6 +37,10 @@
             Rule::Drain => "drains",
             Rule::SlowStart => "cold",
             Rule::Staleness => "stale",
+            Rule::ToldTime => "told",
+            Rule::ClientGone => "gone",
+            Rule::StalledClient => "stalled",
+            Rule::OwnCheck => "own check",
             Rule::ProcessStart => "start",
             Rule::ProcessCrash => "crash",
         })
--- a/crates/comethitch-lab/src/lib.rs
+++ b/crates/comethitch-lab/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod ledger;
 pub mod links;
 pub mod live;
+pub mod soak;
 pub mod system_calls;
 pub mod trial;
 pub mod usable;
--- a/crates/comethitch-lab/src/live/clients.rs
+++ b/crates/comethitch-lab/src/live/clients.rs
@@ -19,6 +19,8 @@
 
 /// How much longer than its timeout, and the slack of the ledger, a client waits for an answer that is late.
 const LATE_ANSWER_GRACE: Duration = Duration::from_millis(100);
+/// A close within this span of the query that it follows may have crossed it: the router had not read it.
+const CROSSING_LIMIT: Duration = Duration::from_millis(150);
 /// The code fields of errors that mean a throttle: `too_many_connections` and `cannot_connect_now`.
 const THROTTLE_CODES: [&[u8]; 2] = [b"C53300\0", b"C57P03\0"];
 
@@ -74,18 +76,48 @@
 async fn send_once(
     fleet: &LiveFleet, pool: &Pool, own_router: usize, command: ClientCommand,
 ) -> Option<Answer> {
-    let router = serving_router(fleet, own_router)?;
+    let router = match ending_router(fleet, pool, own_router) {
+        Some(router) => router,
+        None => serving_router(fleet, own_router)?,
+    };
     let idle = take_idle(fleet, pool, router);
     let exchange = Exchange { fleet, pool, router, command, number: fleet.next_number() };
     let late = async {
         sleep(exchange.timeout() + SLACK + LATE_ANSWER_GRACE).await;
         None
     };
-    let answer = future::or(exchange.run(idle), late).await;
+    let Some(stay) = stay_of_leaving_client(fleet) else {
+        let answer = future::or(exchange.run(idle), late).await;
+        exchange.record(answer);
+        return answer;
+    };
+    let left = async {
+        sleep(stay).await;
+        None
+    };
+    let answer = future::or(exchange.run(idle), left).await;
+    // Dropping the exchange has closed the connection.
+    if answer.is_none() {
+        fleet.ledger.borrow_mut().client_left(exchange.number, now());
+    }
     exchange.record(answer);
     answer
 }
 
+/// The clients' own router, if it was told to end and a connection to it is still open: clients send on it further.
+fn ending_router(fleet: &LiveFleet, pool: &Pool, own_router: usize) -> Option<RouterIncarnation> {
+    let processes = fleet.processes.borrow();
+    let router = Some(processes.current(own_router)).filter(|_| processes.is_ending(own_router))?;
+    pool.borrow().iter().any(|idle| idle.router == router).then_some(router)
+}
+
+/// How long a client waits that closes its connection before it has the answer; none for all others.
+fn stay_of_leaving_client(fleet: &LiveFleet) -> Option<Duration> {
+    let leaves = fleet.trial.leave > 0.0 && fleet.rng.borrow_mut().random_bool(fleet.trial.leave);
+    let longest = Duration::from_millis(fleet.trial.target_ms);
+    leaves.then(|| longest.scaled(fleet.draw()))
+}
+
 /// The clients' own router, or any other that serves if it does not.
 fn serving_router(fleet: &LiveFleet, own_router: usize) -> Option<RouterIncarnation> {
     let processes = fleet.processes.borrow();
@@ -135,11 +167,15 @@
         };
         self.record_received();
         let reply = self.execute(stream, &query).await;
-        if !reused || reply.begun || now() - begun > self.timeout() {
+        // A close long after the query was sent does not cross it: the router had it, and owed an answer.
+        if !reused || reply.begun || now() - begun > CROSSING_LIMIT {
             return reply.answer;
         }
-        let stream = self.connect().await?;
-        self.execute(stream, &query).await.answer
+        match self.connect().await {
+            Some(stream) => self.execute(stream, &query).await.answer,
+            // The router has ended meanwhile: its clients go elsewhere.
+            None => self.execute_elsewhere(&query).await,
+        }
     }
 
     fn query(&self) -> String {
@@ -160,6 +196,13 @@
         processes::connect(address).await.ok()
     }
 
+    async fn execute_elsewhere(&self, query: &[u8]) -> Option<Answer> {
+        let router = serving_router(self.fleet, self.router.router)?;
+        let elsewhere = Exchange { router, ..*self };
+        let stream = elsewhere.connect().await?;
+        elsewhere.execute(stream, query).await.answer
+    }
+
     fn record_received(&self) {
         let ClientCommand { request, write, .. } = self.command;
         let deadline = now() + self.timeout();
@@ -197,9 +240,9 @@
 
     /// Records the outcome; a router that was killed or stopped meanwhile owes none.
     fn record(&self, answer: Option<Answer>) {
-        let is_current = self.fleet.processes.borrow().is_current(self.router);
+        let is_owed = self.fleet.processes.borrow().owes(self.router);
         let mut ledger = self.fleet.ledger.borrow_mut();
-        if !is_current {
+        if !is_owed {
             ledger.router_lost(self.number);
         } else if let Some(answer) = answer {
             ledger.answer_received(self.number, now(), answer);
--- a/crates/comethitch-lab/src/live/faults.rs
+++ b/crates/comethitch-lab/src/live/faults.rs
@@ -1,7 +1,7 @@
 //! Faults of a fleet of real processes: what a trial's [`FaultKind`]s do to routers, hosts and links.
 
 use super::network::{now, sleep};
-use super::state::{LiveFleet, SharedFleet};
+use super::state::{LiveFleet, SLACK, SharedFleet};
 use super::{hosts, processes};
 use crate::hosts::{SimulatedHost, fraction_of_each_shard, usable_replicas};
 use crate::ledger::Rule;
@@ -9,6 +9,11 @@
 use comethitch_policy::time::Duration;
 use std::rc::Rc;
 
+/// How much longer than the longest timeout a router may take to end: what SIGKILL allows at the least.
+const END_GRACE: Duration = Duration::from_millis(700);
+/// How often it is looked at whether it has ended.
+const END_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 impl LiveFleet {
     /// Plays a fault from its beginning to its end.
     pub(super) async fn play_fault(self: Rc<LiveFleet>, fault: FaultKind) {
@@ -27,6 +32,8 @@
             FaultKind::Stop { part, for_ms } => {
                 self.stop_routers(part, Duration::from_millis(for_ms)).await;
             }
+            FaultKind::Restart { part, over_ms } => self.restart_routers(part, over_ms).await,
+            FaultKind::Reload { part } => self.reload_routers(part),
             FaultKind::Links { routers, hosts, direction, fault, for_ms } => {
                 let affected = AffectedLinks { routers, hosts, direction };
                 self.disturb_links(affected, fault, Duration::from_millis(for_ms)).await;
@@ -116,6 +123,25 @@
         }
     }
 
+    async fn restart_routers(self: &Rc<LiveFleet>, fraction: f64, over_ms: u64) {
+        let chosen = self.draw_for_fault(self.all_routers(), fraction);
+        let interval = Duration::from_micros(over_ms * 1000 / chosen.len().max(1) as u64);
+        for router in chosen {
+            if self.processes.borrow().is_undisturbed(router) {
+                self.spawn(restart_router(self.clone(), router));
+            }
+            sleep(interval).await;
+        }
+    }
+
+    fn reload_routers(&self, fraction: f64) {
+        for router in self.draw_for_fault(self.all_routers(), fraction) {
+            if self.processes.borrow().is_undisturbed(router) {
+                self.processes.borrow_mut().reload(router);
+            }
+        }
+    }
+
     async fn disturb_links(&self, affected: AffectedLinks, fault: LinkFault, duration: Duration) {
         let all_hosts = (0..self.hosts.borrow().len()).collect();
         let routers = self.draw_for_fault(self.all_routers(), affected.routers).into_iter().collect();
@@ -134,6 +160,37 @@
     direction: Direction,
 }
 
+/// Tells a router to end, waits until it has, and starts it again. It must end by itself, with success, within its
+/// clients' longest timeout and a grace; what it has taken and not answered by then is lost.
+async fn restart_router(fleet: SharedFleet, router: usize) {
+    fleet.processes.borrow_mut().terminate(router);
+    let told_at = now();
+    let limit = Duration::from_millis(fleet.trial.timeout_ms) + END_GRACE + SLACK;
+    let status = loop {
+        sleep(END_POLL_INTERVAL).await;
+        let ended = fleet.processes.borrow_mut().take_end(router);
+        if let Some(status) = ended {
+            break status;
+        }
+        if now() - told_at > limit {
+            let description = format!("router {router} did not end within {limit:?} of SIGTERM");
+            fleet.record_violation(Rule::ProcessCrash, description);
+            let in_flight = fleet.processes.borrow_mut().kill(router);
+            return fleet.record_lost(in_flight);
+        }
+    };
+    if !status.success() {
+        fleet.record_violation(Rule::ProcessCrash, format!("router {router} ended with {status}"));
+    }
+    if !fleet.clients_send.get() {
+        return;
+    }
+    if let Err(error) = processes::start(&fleet, router) {
+        fleet.record_violation(Rule::ProcessStart, error.to_string());
+    }
+    processes::wait_until_ready(fleet, router).await;
+}
+
 /// Drains a host, starts a new one in its place, and removes it after twice the drain grace.
 async fn replace_host(fleet: SharedFleet, host: usize) {
     let shard = fleet.hosts.borrow()[host].shard;
--- a/crates/comethitch-lab/src/live/hosts.rs
+++ b/crates/comethitch-lab/src/live/hosts.rs
@@ -29,6 +29,8 @@
 const WRITE_KEYWORD: &str = "INSERT";
 /// What precedes a command's number in its statement, and the number's hexadecimal digits.
 const NUMBER_KEY: &str = "id=";
+/// What precedes the milliseconds that the client has left.
+const TOLD_KEY: &str = ",d=";
 const NUMBER_DIGITS: usize = 16;
 /// The length of a startup message's length field, which counts itself, and the longest message that is read, in bytes.
 const LENGTH_FIELD: usize = 4;
@@ -70,6 +72,8 @@
 struct HostCommand {
     number: u64,
     write: bool,
+    /// How much time its router says that its client has left.
+    told: Option<Duration>,
     received_at: Timestamp,
 }
 
@@ -154,7 +158,7 @@
             _ => {
                 let Some(number) = command_number(&text) else { return Some(error(PROTOCOL_VIOLATION)) };
                 let write = text.contains(WRITE_KEYWORD);
-                self.execute(HostCommand { number, write, received_at }).await
+                self.execute(HostCommand { number, write, told: told_time(&text), received_at }).await
             }
         }
     }
@@ -169,8 +173,11 @@
 
     /// Runs a command, or rejects it. `None` if it is not answered any more.
     async fn execute(&mut self, command: HostCommand) -> Option<Vec<u8>> {
-        let HostCommand { number, write, received_at } = command;
+        let HostCommand { number, write, received_at, .. } = command;
         self.fleet.ledger.borrow_mut().attempt_sent(number, self.router, self.host, received_at);
+        if let Some(told) = command.told {
+            self.fleet.ledger.borrow_mut().time_told(number, told, received_at);
+        }
         let second = self.fleet.second();
         if !write {
             let cores = self.fleet.hosts.borrow()[self.host].cores;
@@ -226,7 +233,7 @@
     }
 
     fn check_staleness(&self, command: HostCommand) {
-        let HostCommand { number, write, received_at } = command;
+        let HostCommand { number, write, received_at, .. } = command;
         let host = self.host;
         let lag = Duration::from_millis(self.fleet.trial.lag_ms);
         let bound = Duration::from_millis(self.fleet.trial.bound_ms);
@@ -264,6 +271,13 @@
     row(format!("x0={seconds}.{milliseconds:03},x1={primary},queue={queue}").as_bytes())
 }
 
+/// The time that a statement says its client has left.
+fn told_time(text: &str) -> Option<Duration> {
+    let (_, rest) = text.split_once(TOLD_KEY)?;
+    let digits = rest.split(|letter: char| !letter.is_ascii_digit()).next()?;
+    digits.parse().ok().map(Duration::from_millis)
+}
+
 /// The number that a statement carries as its id.
 fn command_number(text: &str) -> Option<u64> {
     let (_, rest) = text.split_once(NUMBER_KEY)?;
--- a/crates/comethitch-lab/src/live/mod.rs
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -17,6 +17,8 @@
 mod play;
 mod process_table;
 mod processes;
+mod punctuality;
+mod stalled_clients;
 mod state;
 
 pub use play::play;
--- a/crates/comethitch-lab/src/live/play.rs
+++ b/crates/comethitch-lab/src/live/play.rs
@@ -4,7 +4,7 @@
 use super::process_table::RouterProcesses;
 use super::processes;
 use super::state::{LiveFleet, SLACK, SharedFleet};
-use super::{clients, discovery, hosts};
+use super::{clients, discovery, hosts, punctuality, stalled_clients};
 use crate::error::PlayError;
 use crate::hosts::replica_cores;
 use crate::ledger::{Report, Rule};
@@ -66,12 +66,17 @@
     start_hosts(&fleet)?;
     let discovery_port = discovery::start(&fleet)?;
     fleet.processes.borrow_mut().discovery_port = discovery_port;
+    fleet.processes.borrow_mut().let_system_calls_fail(&trial.system_calls)?;
     start_routers(&fleet)?;
     wait_until_ready(&fleet).await?;
     let start = now();
     fleet.start.set(start);
     fleet.ledger.borrow_mut().set_start(start);
     fleet.spawn(observe_each_second(fleet.clone()));
+    if trial.sharp {
+        fleet.spawn(punctuality::adapt_slack(fleet.clone()));
+    }
+    fleet.spawn(stalled_clients::come(fleet.clone(), trial.stalled_clients));
     start_clients(&fleet, rates_per_core);
     schedule_faults(&fleet);
     show_progress(trial.seconds, start).await;
@@ -79,6 +84,9 @@
     let end = now();
     // The last commands have their timeout, and their retries.
     sleep(Duration::from_millis(trial.timeout_ms) + SLACK).await;
+    for (router, line) in fleet.processes.borrow().own_violations() {
+        fleet.record_violation(Rule::OwnCheck, format!("router {router}: {line}"));
+    }
     fleet.processes.borrow_mut().end_all();
     let usable = fleet.usable.take();
     let throughout = |second, host| usable.throughout(second, host, trial.seconds);
@@ -110,6 +118,9 @@
 async fn wait_until_ready(fleet: &SharedFleet) -> Result<(), PlayError> {
     let begun = now();
     while fleet.processes.borrow().serving().len() < usize::from(fleet.trial.routers) {
+        if let Some(exit) = fleet.processes.borrow_mut().take_exits().first() {
+            return Err(PlayError::RouterEnded { router: exit.router, status: exit.status });
+        }
         if now() - begun > Duration::from_secs(READY_SECONDS) {
             return Err(PlayError::NotReady { seconds: READY_SECONDS });
         }
--- a/crates/comethitch-lab/src/live/process_table.rs
+++ b/crates/comethitch-lab/src/live/process_table.rs
@@ -2,6 +2,7 @@
 
 use super::network::{Purpose, address};
 use crate::error::PlayError;
+use crate::system_calls::SystemCallFaults;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -14,11 +15,16 @@
 /// The environment variable that names a router's configuration file.
 const CONFIGURATION_VARIABLE: &str = "RELAY_CONFIG";
 
+/// What a router logs when its own checks find a broken rule.
+const OWN_VIOLATION: &str = "rule broken";
+
 /// A router between two restarts or stops.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct RouterIncarnation {
     pub router: usize,
     pub incarnation: u32,
+    /// How often it was killed or stopped before.
+    pub losses: u32,
 }
 
 /// A router process that ended by itself.
@@ -34,18 +40,22 @@
     /// It has answered a client.
     ready: bool,
     stopped: bool,
+    /// It was told to end.
+    ending: bool,
     incarnation: u32,
+    losses: u32,
     commands_in_flight: BTreeSet<u64>,
 }
 
 impl RouterProcess {
     fn is_serving(&self) -> bool {
-        self.ready && !self.stopped
+        self.ready && !self.stopped && !self.ending
     }
 
     /// Begins a new incarnation; returns the commands that the last one had in flight.
     fn lose_commands(&mut self) -> BTreeSet<u64> {
         self.incarnation += 1;
+        self.losses += 1;
         std::mem::take(&mut self.commands_in_flight)
     }
 }
@@ -60,6 +70,9 @@
     /// Where clients reach each router, at its own address.
     client_port: u16,
     pub discovery_port: u16,
+    /// The library of failing system calls, and its settings, dealt out to the routers in turn.
+    system_calls: Option<SystemCallFaults>,
+    system_call_settings: Vec<String>,
     processes: Vec<RouterProcess>,
 }
 
@@ -79,10 +92,22 @@
             folder_is_kept: logs.is_some(),
             client_port,
             discovery_port: 0,
+            system_calls: None,
+            system_call_settings: Vec::new(),
             processes: (0..routers).map(|_| RouterProcess::default()).collect(),
         })
     }
 
+    /// Lets system calls of the routers that are started from now on fail by these settings.
+    pub fn let_system_calls_fail(&mut self, settings: &[String]) -> Result<(), PlayError> {
+        if settings.iter().any(|settings| !settings.is_empty()) {
+            let library = SystemCallFaults::compile(&self.folder).map_err(PlayError::SystemCalls)?;
+            self.system_calls = Some(library);
+            self.system_call_settings = settings.to_vec();
+        }
+        Ok(())
+    }
+
     /// Where clients reach a router.
     pub fn client_address(&self, router: usize) -> SocketAddr {
         (address(router, Purpose::Clients), self.client_port).into()
@@ -95,7 +120,8 @@
 
     /// A router's present incarnation.
     pub fn current(&self, router: usize) -> RouterIncarnation {
-        RouterIncarnation { router, incarnation: self.processes[router].incarnation }
+        let RouterProcess { incarnation, losses, .. } = self.processes[router];
+        RouterIncarnation { router, incarnation, losses }
     }
 
     /// Whether a router has neither been killed nor stopped since.
@@ -103,6 +129,16 @@
         self.current(router.router) == router
     }
 
+    /// Whether a router owes answers to what it was sent then: it was neither killed nor stopped since.
+    pub fn owes(&self, router: RouterIncarnation) -> bool {
+        self.processes[router.router].losses == router.losses
+    }
+
+    /// Whether a router was told to end and has not ended.
+    pub fn is_ending(&self, router: usize) -> bool {
+        self.processes[router].ending
+    }
+
     /// Counts a command as in flight at a router.
     pub fn command_sent(&mut self, router: usize, command: u64) {
         self.processes[router].commands_in_flight.insert(command);
@@ -121,9 +157,50 @@
             let _ = child.wait();
         }
         process.ready = false;
+        process.ending = false;
         process.lose_commands()
     }
 
+    /// Tells a router to end (SIGTERM); it owes what it has taken.
+    pub fn terminate(&mut self, router: usize) {
+        self.signal(router, Signal::TERM);
+        self.processes[router].ending = true;
+    }
+
+    /// How a router that was told to end has ended, once it has. Its clients still find out what it owed them.
+    pub fn take_end(&mut self, router: usize) -> Option<ExitStatus> {
+        let process = &mut self.processes[router];
+        let status = process.child.as_mut()?.try_wait().ok()??;
+        process.child = None;
+        process.ready = false;
+        process.ending = false;
+        process.incarnation += 1;
+        process.commands_in_flight.clear();
+        Some(status)
+    }
+
+    /// Whether a router runs, and was neither stopped nor told to end.
+    pub fn is_undisturbed(&self, router: usize) -> bool {
+        let process = &self.processes[router];
+        process.child.is_some() && process.is_serving()
+    }
+
+    /// Tells a router to read its configuration again (SIGHUP).
+    pub fn reload(&mut self, router: usize) {
+        self.signal(router, Signal::HUP);
+    }
+
+    /// What the routers' own checks found, line by line, with the router's number.
+    pub fn own_violations(&self) -> Vec<(usize, String)> {
+        let mut found = Vec::new();
+        for router in 0..self.processes.len() {
+            let log = std::fs::read_to_string(self.folder.join(format!("r{router}.log"))).unwrap_or_default();
+            let broken = log.lines().filter(|line| line.contains(OWN_VIOLATION));
+            found.extend(broken.map(|line| (router, line.to_string())));
+        }
+        found
+    }
+
     /// Stops a router (SIGSTOP); returns the commands that it has in flight.
     pub fn stop(&mut self, router: usize) -> BTreeSet<u64> {
         self.signal(router, Signal::STOP);
@@ -148,7 +225,8 @@
     /// The routers that ended by themselves since the last call.
     pub fn take_exits(&mut self) -> Vec<Exit> {
         let mut exits = Vec::new();
-        for (router, process) in self.processes.iter_mut().enumerate() {
+        let running = self.processes.iter_mut().enumerate().filter(|(_, process)| !process.ending);
+        for (router, process) in running {
             let status = process.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
             if let Some(status) = status {
                 process.child = None;
@@ -183,6 +261,10 @@
         let level = if self.folder_is_kept { "info" } else { "warn" };
         let mut command = Command::new(&self.daemon);
         command.args(["serve", "--log", level]).env(CONFIGURATION_VARIABLE, &path);
+        if let Some(library) = &self.system_calls {
+            let settings = &self.system_call_settings[router % self.system_call_settings.len()];
+            command.envs(library.environment(settings));
+        }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         self.processes[router].child = Some(command.spawn()?);
         Ok(())
--- a/crates/comethitch-lab/src/main.rs
+++ b/crates/comethitch-lab/src/main.rs
@@ -2,16 +2,17 @@
 
 mod arguments;
 
-use arguments::{Arguments, Compare, LiveRun, Run, Sizes, Subcommand};
+use arguments::{Arguments, Compare, LiveRun, Run, Sizes, Soak, Subcommand};
 use comethitch_lab::chart::{self, ChartError, Labels};
 use comethitch_lab::compare::{Row, compare};
 use comethitch_lab::error::PlayError;
 use comethitch_lab::fleet;
 use comethitch_lab::ledger::{Report, Second};
 use comethitch_lab::live;
+use comethitch_lab::soak;
 use comethitch_lab::trial::{Routing, Trial, TrialError};
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use thiserror::Error;
 
@@ -115,10 +116,7 @@
 
 fn run_live(arguments: LiveRun) -> Result<Verdict, CommandError> {
     let trial = read_trial(&arguments.file, arguments.seed)?;
-    let daemon = match arguments.daemon {
-        Some(daemon) => daemon,
-        None => std::env::current_exe().map_err(CommandError::OwnPath)?.with_file_name(DAEMON),
-    };
+    let daemon = daemon_path(arguments.daemon)?;
     let report = live::play(&trial, &daemon, arguments.logs.as_deref())?;
     print_header();
     print_row("live", &trial, &report);
@@ -133,6 +131,37 @@
     Ok(Verdict::of(&report))
 }
 
+/// The program given, or the one beside this.
+fn daemon_path(given: Option<PathBuf>) -> Result<PathBuf, CommandError> {
+    match given {
+        Some(daemon) => Ok(daemon),
+        None => Ok(std::env::current_exe().map_err(CommandError::OwnPath)?.with_file_name(DAEMON)),
+    }
+}
+
+fn run_soak(arguments: Soak) -> Result<Verdict, CommandError> {
+    let daemon = daemon_path(arguments.daemon)?;
+    let mut verdict = Verdict::RulesKept;
+    if !arguments.print {
+        print_header();
+    }
+    for seed in parse_seeds(&arguments.seeds)? {
+        let trial = soak::trial(seed, arguments.seconds);
+        if arguments.print {
+            println!("{}", serde_json::to_string(&trial)?);
+            continue;
+        }
+        let logs = arguments.logs.as_ref().map(|logs| logs.join(format!("seed-{seed}")));
+        let report = live::play(&trial, &daemon, logs.as_deref())?;
+        print_row("soak", &trial, &report);
+        print_violations(&report);
+        if Verdict::of(&report) == Verdict::RulesBroken {
+            verdict = Verdict::RulesBroken;
+        }
+    }
+    Ok(verdict)
+}
+
 fn print_recoveries(trial: &Trial, report: &Report) {
     for fault in &trial.faults {
         let recovery = match report.recovery_seconds(fault.at_ms / 1000, RECOVERY_TOLERANCE) {
@@ -171,9 +200,12 @@
     Ok(Verdict::RulesKept)
 }
 
-/// Reads numbers separated by commas.
+/// Reads numbers separated by commas, or a range such as `1..5`, whose last number belongs to it.
 fn parse_seeds(text: &str) -> Result<Vec<u64>, CommandError> {
-    let seed = |text: &str| text.trim().parse().map_err(|_| CommandError::Seed { text: text.into() });
+    let seed = |text: &str| text.trim().parse::<u64>().map_err(|_| CommandError::Seed { text: text.into() });
+    if let Some((first, last)) = text.split_once("..") {
+        return Ok((seed(first)?..=seed(last)?).collect());
+    }
     text.split(',').map(seed).collect()
 }
 
@@ -212,6 +244,7 @@
         Subcommand::Compare(arguments) => run_compare(arguments),
         Subcommand::Sizes(arguments) => run_sizes(arguments),
         Subcommand::Schema(_) => print_schema(),
+        Subcommand::Soak(arguments) => run_soak(arguments),
     }
 }
 
--- a/crates/comethitch-lab/src/trial.rs
+++ b/crates/comethitch-lab/src/trial.rs
@@ -115,6 +115,15 @@
     pub slots: u32,
     /// How many routers share one name and one random seed. Real processes alone.
     pub namesakes: u16,
+    /// Settings of failing system calls (`shim/system_calls.c` lists them), dealt out to the routers in turn; an empty
+    /// one leaves a router its own calls. Real processes alone.
+    pub system_calls: Vec<String>,
+    /// The part of commands whose client closes its connection before it has the answer. Real processes alone.
+    pub leave: f64,
+    /// How many clients send a part of a request and stay, over the trial. Real processes alone.
+    pub stalled_clients: u16,
+    /// Whether time limits are as close as the lab itself is punctual, in place of a fixed slack. Real processes alone.
+    pub sharp: bool,
     /// Whether all hosts have just started as the trial begins.
     pub all_cold: bool,
     /// What goes wrong, or is done, and when.
@@ -151,6 +160,10 @@
             queue_per_core: 20,
             slots: 0,
             namesakes: 0,
+            system_calls: Vec::new(),
+            leave: 0.0,
+            stalled_clients: 0,
+            sharp: false,
             all_cold: false,
             faults: Vec::new(),
             settings: BTreeMap::new(),
@@ -216,6 +229,7 @@
         check_range("load", self.load, 0.01, 3.0)?;
         check_range("skew", self.skew, 0.0, 3.0)?;
         check_range("writes", self.writes, 0.0, 1.0)?;
+        check_range("leave", self.leave, 0.0, 1.0)?;
         check_range("cold_from", self.cold_from, 0.01, 1.0)?;
         check_range("fall_multiple", self.fall_multiple, 1.0, 100.0)?;
         check_range("report_ms", self.report_ms as f64, 1.0, 60_000.0)?;
--- a/crates/comethitch-lab/src/trial/faults.rs
+++ b/crates/comethitch-lab/src/trial/faults.rs
@@ -53,6 +53,19 @@
         /// For how many milliseconds.
         for_ms: u64,
     },
+    /// This part of the routers is told to end (SIGTERM), one after the other, and each is started again once it has
+    /// ended; it owes all that it has taken. Real processes alone.
+    Restart {
+        /// The part of the routers.
+        part: f64,
+        /// Over how many milliseconds they are told.
+        over_ms: u64,
+    },
+    /// This part of the routers reads its configuration again (SIGHUP). Real processes alone.
+    Reload {
+        /// The part of the routers.
+        part: f64,
+    },
     /// A fault of the links between parts of the routers and of the hosts. Routers cut off in both directions hear of
     /// endpoint updates only afterwards. Real processes alone.
     Links {
@@ -76,12 +89,13 @@
     fn duration_ms(self) -> u64 {
         match self {
             FaultKind::Release { over_ms: ms, .. }
+            | FaultKind::Restart { over_ms: ms, .. }
             | FaultKind::Herd { back_ms: ms, .. }
             | FaultKind::Takeover { after_ms: ms, .. }
             | FaultKind::Stop { for_ms: ms, .. }
             | FaultKind::Stall { for_ms: ms, .. }
             | FaultKind::Links { for_ms: ms, .. } => ms,
-            FaultKind::Slow { .. } => 0,
+            FaultKind::Slow { .. } | FaultKind::Reload { .. } => 0,
         }
     }
 
@@ -92,7 +106,9 @@
             | FaultKind::Slow { part, .. }
             | FaultKind::Stall { part, .. }
             | FaultKind::Takeover { part, .. }
-            | FaultKind::Stop { part, .. } => check_range(&format!("faults[{index}].part"), part, 0.0, 1.0),
+            | FaultKind::Stop { part, .. }
+            | FaultKind::Restart { part, .. }
+            | FaultKind::Reload { part } => check_range(&format!("faults[{index}].part"), part, 0.0, 1.0),
             FaultKind::Links { routers, hosts, fault, .. } => {
                 check_range(&format!("faults[{index}].routers"), routers, 0.0, 1.0)?;
                 check_range(&format!("faults[{index}].hosts"), hosts, 0.0, 1.0)?;
--- a/crates/comethitchd/tests/system_calls.rs
+++ b/crates/comethitchd/tests/system_calls.rs
@@ -87,6 +87,25 @@
     program.ends();
 }
 
+#[test]
+fn a_log_that_cannot_be_written_loses_no_command() {
+    const FULL_FROM: Duration = Duration::from_millis(500);
+    let primary = host(true, |_, _| answer("value"));
+    let all = configuration(&[entry("p", primary.address, true, "ready")], None, 1024);
+    let settings = format!("seed=1,stderr=1,from_ms={}", FULL_FROM.as_millis());
+    let program = Program::start_with_faults("full-log", &all, &settings);
+    std::thread::sleep(FULL_FROM);
+    let mut client = Client::connect(program.address);
+    for id in 1..=10 {
+        // There is no such group of hosts: it is throttled, which is logged.
+        let elsewhere = write(id, 300).replace("cluster=0", "cluster=1");
+        assert_eq!(client.ask(&elsewhere), ClientReply::Error("53300".into()), "command {id}");
+        assert_eq!(client.ask(&write(100 + id, 2_000)), ClientReply::Value(b"value".to_vec()));
+    }
+    program.signal("TERM");
+    program.ends();
+}
+
 #[test]
 fn interrupted_signals_neither_stop_a_router_nor_get_lost() {
     let primary = host(true, |_, _| answer("value"));
