--- a/crates/comethitch-lab/src/live/clients.rs
+++ b/crates/comethitch-lab/src/live/clients.rs
@@ -168,7 +168,8 @@
         self.record_received();
         let reply = self.execute(stream, &query).await;
         // A close long after the query was sent does not cross it: the router had it, and owed an answer.
-        if !reused || reply.begun || now() - begun > CROSSING_LIMIT {
+        let is_owed = self.fleet.processes.borrow().owes(self.router);
+        if !reused || !is_owed || reply.begun || now() - begun > CROSSING_LIMIT {
             return reply.answer;
         }
         match self.connect().await {
--- a/crates/comethitch-lab/src/live/discovery.rs
+++ b/crates/comethitch-lab/src/live/discovery.rs
@@ -101,38 +101,66 @@
     Ok(String::from_utf8_lossy(&head).into_owned())
 }
 
-/// Sends the list, and again whenever it has changed, one line each. Nothing reaches a router that is cut off.
+/// A watch of the list by one router.
+struct Watch<'a> {
+    fleet: &'a LiveFleet,
+    router: usize,
+    sent_version: u64,
+    last_sent: Timestamp,
+    /// When an update that is on its way arrives.
+    update_due: Option<Timestamp>,
+}
+
+/// Sends the list, and again whenever it has changed, one line each, until the router closes the connection. Nothing
+/// reaches a router that is cut off.
 async fn send_updates(fleet: &LiveFleet, router: usize, mut stream: Async<TcpStream>) -> io::Result<()> {
     stream.write_all(CHUNKED_HEAD).await?;
-    let mut sent_version = 0;
-    let mut last_sent = now();
-    loop {
-        let Some(line) = next_line(fleet, router, &mut sent_version, last_sent).await else {
+    let mut watch = Watch { fleet, router, sent_version: 0, last_sent: now(), update_due: None };
+    while !is_closed(&stream) {
+        let Some(line) = watch.next_line() else {
             sleep(POLL_INTERVAL).await;
             continue;
         };
-        last_sent = now();
+        watch.last_sent = now();
         let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
         stream.write_all(chunk.as_bytes()).await?;
     }
+    Ok(())
 }
 
-/// The list if it has changed, an empty line if the connection was quiet for long, `None` otherwise.
-async fn next_line(
-    fleet: &LiveFleet, router: usize, sent_version: &mut u64, last_sent: Timestamp,
-) -> Option<String> {
-    if fleet.links.borrow().is_partitioned(router) {
-        return None;
+/// Whether the router has closed the connection: it is not notified on it any more.
+fn is_closed(stream: &Async<TcpStream>) -> bool {
+    stream.get_ref().peek(&mut [0]).is_ok_and(|length| length == 0)
+}
+
+impl Watch<'_> {
+    /// The list once a change of it has arrived, an empty line if the connection was quiet for long, else `None`.
+    fn next_line(&mut self) -> Option<String> {
+        if self.fleet.links.borrow().is_partitioned(self.router) {
+            return None;
+        }
+        if self.fleet.endpoints_version.get() > self.sent_version {
+            let due = self.update_due.unwrap_or_else(|| now() + self.update_delay());
+            self.update_due = Some(due);
+            if now() >= due {
+                return Some(self.list());
+            }
+        }
+        (now() - self.last_sent > KEEP_ALIVE_INTERVAL).then(String::new)
     }
-    if fleet.endpoints_version.get() <= *sent_version {
-        let quiet = now() - last_sent > KEEP_ALIVE_INTERVAL;
-        return quiet.then(String::new);
+
+    /// The first list is there at once, an update of it comes later.
+    fn update_delay(&self) -> Duration {
+        if self.sent_version == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_micros((LEAST_DELAY_MICROS + DELAY_SPREAD_MICROS * self.fleet.draw()) as u64)
     }
-    if *sent_version > 0 {
-        let delay_micros = LEAST_DELAY_MICROS + DELAY_SPREAD_MICROS * fleet.draw();
-        sleep(Duration::from_micros(delay_micros as u64)).await;
+
+    fn list(&mut self) -> String {
+        self.update_due = None;
+        self.sent_version = self.fleet.endpoints_version.get();
+        record_drain_notifications(self.fleet, self.router);
+        endpoint_list(self.fleet, self.router).to_string()
     }
-    *sent_version = fleet.endpoints_version.get();
-    record_drain_notifications(fleet, router);
-    Some(endpoint_list(fleet, router).to_string())
 }
--- a/crates/comethitch-lab/src/live/faults.rs
+++ b/crates/comethitch-lab/src/live/faults.rs
@@ -164,10 +164,15 @@
 /// clients' longest timeout and a grace; what it has taken and not answered by then is lost.
 async fn restart_router(fleet: SharedFleet, router: usize) {
     fleet.processes.borrow_mut().terminate(router);
+    let told = fleet.processes.borrow().current(router);
     let told_at = now();
     let limit = Duration::from_millis(fleet.trial.timeout_ms) + END_GRACE + SLACK;
     let status = loop {
         sleep(END_POLL_INTERVAL).await;
+        // Killed or stopped meanwhile, it is another fault's.
+        if !fleet.processes.borrow().is_current(told) {
+            return;
+        }
         let ended = fleet.processes.borrow_mut().take_end(router);
         if let Some(status) = ended {
             break status;
