--- a/crates/comethitch-lab/src/live/process_table.rs
+++ b/crates/comethitch-lab/src/live/process_table.rs
@@ -179,6 +179,11 @@
         Some(status)
     }
 
+    /// Whether a process of a router runs.
+    pub fn is_running(&self, router: usize) -> bool {
+        self.processes[router].child.is_some()
+    }
+
     /// Whether a router runs, and was neither stopped nor told to end.
     pub fn is_undisturbed(&self, router: usize) -> bool {
         let process = &self.processes[router];
--- a/crates/comethitch-lab/src/live/processes.rs
+++ b/crates/comethitch-lab/src/live/processes.rs
@@ -68,6 +68,10 @@
 
 /// Starts a router, for the first time or again.
 pub(super) fn start(fleet: &LiveFleet, router: usize) -> Result<(), PlayError> {
+    // Faults overlap: another one may have started it again already.
+    if fleet.processes.borrow().is_running(router) {
+        return Ok(());
+    }
     let configuration = configuration(fleet, router);
     let mut processes = fleet.processes.borrow_mut();
     processes
--- a/crates/comethitchd/tests/endpoint_updates.rs
+++ b/crates/comethitchd/tests/endpoint_updates.rs
@@ -364,3 +364,50 @@
     program.signal("TERM");
     program.ends();
 }
+
+/// A discovery service that answers each request correctly, and late.
+fn late_discovery(lateness: Duration, list: Value) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let body = list.to_string();
+            spawn(move || {
+                let follows = request(&stream).contains("follow=1");
+                sleep(lateness);
+                if follows {
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    while write!(stream, "1\r\n\n\r\n").is_ok() {
+                        sleep(Duration::from_secs(2));
+                    }
+                }
+                let _ = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn a_discovery_service_that_answers_late_is_heard_all_the_same() {
+    let primary = host(true, |_, _| HostAction::Answer(row(b"value")));
+    let list = json!({"seq": 1, "whole": true, "hosts": [entry("p", primary.address, true, "ready")]});
+    let mut all = configuration(&[], None, 1024);
+    all["discovery"] = late_discovery(Duration::from_millis(1_200), list).to_string().into();
+    let router = Router::start(all);
+    let mut client = Client::connect(router.address);
+    let since = Instant::now();
+    let mut ids = 1..;
+    let served = loop {
+        let got = client.ask(&write(ids.next().expect("a number"), 300));
+        if got == ClientReply::Value(b"value".to_vec()) {
+            break true;
+        }
+        if since.elapsed() > Duration::from_secs(6) {
+            break false;
+        }
+    };
+    assert!(served, "the list counts as told after six seconds");
+    drop(client);
+    router.wait();
+}
--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -353,6 +353,26 @@
     router.wait();
 }
 
+#[test]
+fn at_the_descriptor_limit_a_new_client_is_closed_for_nobody() {
+    let primary = host(true, |_, _| answer("value"));
+    let router = Router::start(configuration(&[entry("p", primary.address, true, "ready")], None, 64));
+    // Five eighths of the 44 descriptors that are not reserved.
+    let mut idle: Vec<Client> = (0..26).map(|_| Client::connect(router.address)).collect();
+    for (id, client) in (0..).zip(&mut idle) {
+        assert_eq!(client.ask(&write(id, 5_000)), ClientReply::Value(b"value".to_vec()), "client {id}");
+    }
+    let mut newest = Client::connect(router.address);
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    assert_eq!(
+        newest.ask(&write(100, 5_000)),
+        ClientReply::Value(b"value".to_vec()),
+        "nobody waits for its place"
+    );
+    drop(idle);
+    router.wait();
+}
+
 #[test]
 fn past_the_descriptor_limit_commands_are_throttled_at_once() {
     let elsewhere = |id: u32| query(&write(id, 60_000).replace("cluster=0", "cluster=1"));
