Clients are evicted for somebody only, and late discovery gets more time

Change: at the descriptor limit the accept loop waits until a connection waits to be accepted, and only then evicts one for it; a response of discovery that was late doubles the time of the next one, from 0.75 to 3 s, and one that came sets it to twice its own.

The check of what has left is shown to count: with each write held up for 0.3 s, a command that waits 0.25 s is logged as sent after its deadline.

--- a/crates/comethitchd/src/service/discovery_client.rs
+++ b/crates/comethitchd/src/service/discovery_client.rs
@@ -2,6 +2,7 @@
 
 use crate::state::buffer::Buffer;
 use crate::state::clock::after;
+use crate::state::discovery_state::MIN_RESPONSE_TIMEOUT;
 use crate::state::memory_budget::MemoryBudget;
 use crate::state::socket::Socket;
 use crate::wire::MalformedMessage;
@@ -14,8 +15,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Discovery answers at once: a connection, or the head of a response, that takes longer is abandoned.
-pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(750);
+/// Where responses are late, they get more time, up to this.
+pub const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The largest buffer for a response, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// The status of a response that is read.
@@ -28,13 +29,13 @@
     #[error("another service is followed now")]
     Replaced,
     /// No connection was established in time.
-    #[error("no connection within {RESPONSE_TIMEOUT:?}")]
+    #[error("no connection within {MIN_RESPONSE_TIMEOUT:?}")]
     ConnectTimeout,
     /// The head of the response did not come in time.
-    #[error("no response within {RESPONSE_TIMEOUT:?}")]
+    #[error("the response is late")]
     HeadTimeout,
     /// The end of the response did not come in time.
-    #[error("no complete response within {RESPONSE_TIMEOUT:?}")]
+    #[error("the end of the response is late")]
     BodyTimeout,
     /// The watch sent no complete line in time.
     #[error("the watch is silent")]
@@ -74,16 +75,16 @@
 }
 
 impl DiscoveryResponse {
-    /// Connects, sends a request for `path`, and reads the head of the response.
+    /// Connects, sends a request for `path`, and reads the head of the response within `timeout`.
     ///
     /// # Errors
     ///
     /// If the service can't be reached, does not respond in time, or responds with an error.
     pub async fn request(
-        address: SocketAddr, path: &str, budget: &MemoryBudget,
+        address: SocketAddr, path: &str, timeout: Duration, budget: &MemoryBudget,
     ) -> Result<DiscoveryResponse, DiscoveryError> {
         let connect = async { Ok(Socket::connect(address).await?) };
-        let stream = within(RESPONSE_TIMEOUT, DiscoveryError::ConnectTimeout, connect).await?;
+        let stream = within(MIN_RESPONSE_TIMEOUT, DiscoveryError::ConnectTimeout, connect).await?;
         let request = http::get_request(path, &address.to_string());
         let mut buffer = Buffer::new(MAX_BUFFER_BYTES, budget);
         let head = async {
@@ -92,7 +93,7 @@
         };
         // The timeout is for the whole head: one that comes byte by byte without end is none.
         let ResponseHead { status, body, length } =
-            within(RESPONSE_TIMEOUT, DiscoveryError::HeadTimeout, head).await?;
+            within(timeout, DiscoveryError::HeadTimeout, head).await?;
         if status != STATUS_OK {
             return Err(DiscoveryError::Status(status));
         }
@@ -151,6 +152,13 @@
     }
 }
 
+/// How long the next response may take, after one that came in `took`, or none that came in `timeout`: late responses get
+/// more time, since a service that is slow or crowded would else never be heard.
+pub fn next_response_timeout(timeout: Duration, took: Option<Duration>) -> Duration {
+    let wanted = took.unwrap_or(timeout) * 2;
+    wanted.clamp(MIN_RESPONSE_TIMEOUT, MAX_RESPONSE_TIMEOUT)
+}
+
 /// A step, or `late` once its time is over.
 pub async fn within<T>(
     limit: Duration, late: DiscoveryError, step: impl Future<Output = Result<T, DiscoveryError>>,
--- a/crates/comethitchd/src/service/endpoint_watch.rs
+++ b/crates/comethitchd/src/service/endpoint_watch.rs
@@ -5,7 +5,7 @@
 //! to a watch (it may fall silent, never connect, be reset, or send fragments without end), the list held is never
 //! older than `SILENT_WATCH` and one poll.
 
-use crate::service::discovery_client::{DiscoveryError, DiscoveryResponse, RESPONSE_TIMEOUT, within};
+use crate::service::discovery_client::{DiscoveryError, DiscoveryResponse, next_response_timeout, within};
 use crate::stages::updates;
 use crate::state::clock::after;
 use crate::state::router_state::RouterState;
@@ -15,7 +15,7 @@
 use futures_lite::FutureExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// While nothing changes, discovery sends an empty line at this interval.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
@@ -96,7 +96,8 @@
 /// One watch, up to its end.
 async fn watch(state: &Rc<RouterState>, address: SocketAddr, since: u64) -> Result<(), DiscoveryError> {
     let path = format!("{LIST_PATH}?follow=1&since={since}");
-    let mut response = DiscoveryResponse::request(address, &path, &state.memory).await?;
+    let mut response =
+        DiscoveryResponse::request(address, &path, state.discovery.response_timeout(), &state.memory).await?;
     while let Some(item) = within(WATCH_TIMEOUT, DiscoveryError::WatchSilent, response.next_item()).await? {
         state.discovery.record_watch_event(state.clock.now());
         if let JsonStreamItem::Object(text) = item {
@@ -110,8 +111,10 @@
 /// Fetches the complete list, which counts only if all of it came.
 async fn fetch_list(state: &Rc<RouterState>, address: SocketAddr) -> Result<(), DiscoveryError> {
     let version_before = state.endpoints.borrow().version;
+    let timeout = state.discovery.response_timeout();
+    let started = Instant::now();
     let fetch = async {
-        let mut response = DiscoveryResponse::request(address, LIST_PATH, &state.memory).await?;
+        let mut response = DiscoveryResponse::request(address, LIST_PATH, timeout, &state.memory).await?;
         let mut text = None;
         while let Some(item) = response.next_item().await? {
             if let JsonStreamItem::Object(object) = item {
@@ -120,7 +123,13 @@
         }
         text.ok_or(DiscoveryError::NoList)
     };
-    let text = within(RESPONSE_TIMEOUT, DiscoveryError::BodyTimeout, fetch).await?;
+    let fetched = within(timeout, DiscoveryError::BodyTimeout, fetch).await;
+    let took = fetched.is_ok().then(|| started.elapsed());
+    let is_late = matches!(&fetched, Err(DiscoveryError::HeadTimeout | DiscoveryError::BodyTimeout));
+    if took.is_some() || is_late {
+        state.discovery.set_response_timeout(next_response_timeout(timeout, took));
+    }
+    let text = fetched?;
     apply(state, &text, version_before)
 }
 
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -220,6 +220,10 @@
     let mut failures_in_row = 0;
     loop {
         let Some(permit) = state.acquire_client_descriptor() else {
+            // Nobody is closed that may yet send a command, unless somebody waits for the place.
+            if listener.readable().await.is_ok() {
+                state.make_room_for_waiting_client();
+            }
             Timer::after(RETRY_WAIT).await;
             continue;
         };
--- a/crates/comethitchd/src/state/discovery_state.rs
+++ b/crates/comethitchd/src/state/discovery_state.rs
@@ -4,6 +4,10 @@
 use comethitch_policy::time::{Duration, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::time::Duration as StdDuration;
+
+/// Discovery usually answers at once: a connection, or a response, that takes longer is abandoned at first.
+pub const MIN_RESPONSE_TIMEOUT: StdDuration = StdDuration::from_millis(750);
 
 /// The discovery service that is followed.
 #[derive(Clone)]
@@ -18,13 +22,19 @@
 pub struct DiscoveryState {
     service: RefCell<DiscoveryService>,
     last_watch_event: Cell<Timestamp>,
+    /// How long a response may take.
+    response_timeout: Cell<StdDuration>,
 }
 
 impl DiscoveryState {
     /// Follows the service at `address`.
     pub fn new(address: SocketAddr, now: Timestamp) -> DiscoveryState {
         let service = DiscoveryService { address, replaced: OneShotEvent::default() };
-        DiscoveryState { service: RefCell::new(service), last_watch_event: Cell::new(now) }
+        DiscoveryState {
+            service: RefCell::new(service),
+            last_watch_event: Cell::new(now),
+            response_timeout: Cell::new(MIN_RESPONSE_TIMEOUT),
+        }
     }
 
     /// The service that is followed now.
@@ -38,6 +48,16 @@
         self.service.replace(service).replaced.set();
     }
 
+    /// How long a response may take.
+    pub fn response_timeout(&self) -> StdDuration {
+        self.response_timeout.get()
+    }
+
+    /// Sets how long a response may take from now on.
+    pub fn set_response_timeout(&self, timeout: StdDuration) {
+        self.response_timeout.set(timeout);
+    }
+
     /// Records that the watch sent something, were it an empty line.
     pub fn record_watch_event(&self, now: Timestamp) {
         self.last_watch_event.set(now);
--- a/crates/comethitchd/src/state/router_state.rs
+++ b/crates/comethitchd/src/state/router_state.rs
@@ -161,14 +161,21 @@
         self.commands.borrow().len() >= self.descriptors.max_commands()
     }
 
-    /// A descriptor for one more client. As they run short, idle clients are evicted.
+    /// A descriptor for one more client. As they run short, clients that have long been idle are evicted.
     pub fn acquire_client_descriptor(&self) -> Option<DescriptorPermit> {
         if self.descriptors.clients_run_short() {
-            self.clients.evict_idle(self.clock.now(), self.descriptors.clients.is_exhausted());
+            self.clients.evict_idle(self.clock.now(), false);
         }
         self.descriptors.clients.acquire()
     }
 
+    /// Evicts a client to make room for one that waits to be accepted, while no descriptor is free.
+    pub fn make_room_for_waiting_client(&self) {
+        if self.descriptors.clients.is_exhausted() {
+            self.clients.evict_idle(self.clock.now(), true);
+        }
+    }
+
     /// A descriptor for one more connection to a host, if need be that of the one idle longest.
     pub fn acquire_host_descriptor(&self) -> Option<DescriptorPermit> {
         self.descriptors.hosts.acquire().or_else(|| {
--- a/crates/comethitchd/tests/system_calls.rs
+++ b/crates/comethitchd/tests/system_calls.rs
@@ -106,6 +106,23 @@
     program.ends();
 }
 
+#[test]
+fn a_rule_broken_by_a_process_held_up_behind_the_check_is_counted() {
+    let primary = host(true, |_, _| answer("value"));
+    let all = configuration(&[entry("p", primary.address, true, "ready")], None, 1024);
+    // Each write is held up for longer than the command's client waits: it leaves after its deadline.
+    let mut program = Program::start_with_faults("held-up", &all, "seed=1,hold=1,hold_ms=300,from_ms=1000");
+    let done = program.ends_after(LONG);
+    let mut client = Client::connect(program.address);
+    assert_eq!(client.ask(&write(1, 2_000)), ClientReply::Value(b"value".to_vec()));
+    std::thread::sleep(Duration::from_secs(1));
+    let _ = client.ask(&write(2, 250));
+    program.logs("rule broken rule=sent_after_deadline subject=2");
+    done.store(true, SeqCst);
+    program.signal("TERM");
+    program.ends();
+}
+
 #[test]
 fn interrupted_signals_neither_stop_a_router_nor_get_lost() {
     let primary = host(true, |_, _| answer("value"));
