--- a/crates/comethitchd/tests/serving.rs
+++ b/crates/comethitchd/tests/serving.rs
@@ -532,6 +532,27 @@
     program.ends();
 }
 
+#[test]
+fn a_configuration_that_is_still_being_written_at_sighup_is_read_again() {
+    let primary = host(true, |_, _| answer("value"));
+    let old = discovery();
+    let mut all = configuration(&[entry("p", primary.address, true, "ready")], Some(&old), 1024);
+    let program = Program::start("half-written", &all);
+    old.watch();
+    let new = discovery();
+    all["discovery"] = new.address.to_string().into();
+    let text = all.to_string();
+    std::fs::write(&program.file, &text[..text.len() / 2]).expect("written");
+    program.signal("HUP");
+    std::thread::sleep(std::time::Duration::from_millis(400));
+    std::fs::write(&program.file, &text).expect("written");
+    // What the new service has counts as told four seconds after the signal.
+    let followed = new.asked.recv_timeout(std::time::Duration::from_secs(4));
+    assert_eq!(followed.map(|(asked, _)| asked).as_deref(), Ok("GET /api/targets HTTP/1.1"));
+    program.signal("TERM");
+    program.ends();
+}
+
 #[test]
 fn a_throttled_command_logs_its_id_and_the_reason() {
     // A primary whose port takes no connection: the write never runs, and the policy rejects it.
