Throttles within the window only, hold-ups covered by short graces and bounds, patient reloads

Cause: is_harmless_to_repeat asked whether every host drops duplicates, and not for how long; past_drain_grace left half of the grace whatever it is, and the bound of a read 1/32 of it, while a router may be held up for 0.15 s between its check and the write (94 ms of 3 s); handle_signals read the file once.

--- a/crates/comethitch-policy/src/policy/admission.rs
+++ b/crates/comethitch-policy/src/policy/admission.rs
@@ -77,7 +77,7 @@
         let Some(command) = self.commands.get_mut(&id).filter(|command| !command.finished) else { return };
         command.finished = true;
         let command = &self.commands[&id];
-        if self.is_harmless_to_repeat(command) {
+        if self.is_harmless_to_repeat(command, out.now()) {
             out.throttle(id, self.retry_after(command), reason);
         } else {
             out.fail(id, reason);
@@ -85,13 +85,24 @@
         self.cancel_attempts(id, out);
     }
 
-    fn is_harmless_to_repeat(&self, command: &Command) -> bool {
+    fn is_harmless_to_repeat(&self, command: &Command, now: Timestamp) -> bool {
         let settings = self.settings(command);
         let deduplicated = settings.idempotency == Idempotency::Keyed
-            && settings.deduplication_scope == DeduplicationScope::Everywhere;
+            && settings.deduplication_scope == DeduplicationScope::Everywhere
+            && self.is_remembered_for_repeat(command, now);
         settings.idempotency == Idempotency::Idempotent || deduplicated || !command.maybe_ran()
     }
 
+    /// Whether all that may have run is still remembered when the client's own repeat is at its latest: it waits, sends
+    /// again, and that again has all of the client's time.
+    fn is_remembered_for_repeat(&self, command: &Command, now: Timestamp) -> bool {
+        let wait = self.retry_after(command).unwrap_or_default().max(health::HEALTH_CHECK_RETRY);
+        let latest_repeat = now + wait + (command.deadline - command.submitted_at);
+        let window = self.settings(command).deduplication_window;
+        let mut maybe_ran = command.attempts.iter().filter(|attempt| attempt.maybe_ran());
+        maybe_ran.all(|ran| latest_repeat + self.tick_interval < ran.sent_at + window)
+    }
+
     /// Within the objective if this was a lack of capacity: the client's retries count with its first try.
     fn retry_after(&self, command: &Command) -> Option<Duration> {
         let settings = self.settings(command);
--- a/crates/comethitch-policy/src/policy/group.rs
+++ b/crates/comethitch-policy/src/policy/group.rs
@@ -152,8 +152,11 @@
         moving && group.primary.is_some_and(|primary| !self.hosts[primary].unresponsive)
     }
 
-    /// Whether a host has been draining for over half of its grace: the rest is left for what is in flight.
+    /// Whether a host has been draining for over half of its grace: the rest is left for what is in flight, and for a
+    /// router that is held up before it writes.
     pub(super) fn past_drain_grace(&self, index: HostIndex, now: Timestamp) -> bool {
-        self.hosts[index].draining_since.is_some_and(|since| now - since > self.deployment.drain_grace / 2)
+        let grace = self.deployment.drain_grace;
+        let usable = (grace / 2).min(grace - HELD_UP);
+        self.hosts[index].draining_since.is_some_and(|since| now - since > usable)
     }
 }
--- a/crates/comethitch-policy/src/policy/health.rs
+++ b/crates/comethitch-policy/src/policy/health.rs
@@ -21,8 +21,15 @@
 pub(super) const UNRESPONSIVE_TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Failures in a row, of connections, attempts and health checks, that make a host unreachable.
 const UNREACHABLE_AFTER: u32 = 3;
-/// The part of a staleness bound, as a divisor, kept as a margin where only positions guard a read.
-pub(super) const STALENESS_MARGIN: u64 = 32;
+/// The part of a staleness bound, as a divisor, kept as a margin at the least where only positions guard a read.
+const STALENESS_MARGIN: u64 = 32;
+/// The part of it, as a divisor, that is kept at the most for a router that is held up before it writes.
+const HELD_UP_MARGIN: u64 = 8;
+
+/// How old a position may be for a read with this bound where only positions guard it.
+pub(super) fn usable_age(bound: Duration) -> Duration {
+    bound - (bound / STALENESS_MARGIN).max(HELD_UP.min(bound / HELD_UP_MARGIN))
+}
 
 impl Router {
     /// Takes in the end of a health check, with the load report that came back.
@@ -160,8 +167,7 @@
         let guard =
             self.deployment.staleness_check == StalenessCheck::Off && self.deployment.may_check_health;
         let group = self.host_groups.get(&command.shard).filter(|_| guard)?;
-        let less_margin = |bound: Duration| bound - bound / STALENESS_MARGIN;
-        let lasts = |bound| freshness::refresh_after(less_margin(bound), HEALTH_CHECK_RETRY);
+        let lasts = |bound| freshness::refresh_after(usable_age(bound), HEALTH_CHECK_RETRY);
         let host_time = self.latest_host_time(now).unwrap_or(now);
         match self.settings(command).consistency {
             Consistency::BoundedStaleness(bound) => Some(host_time - lasts(bound)),
--- a/crates/comethitch-policy/src/policy/mod.rs
+++ b/crates/comethitch-policy/src/policy/mod.rs
@@ -35,6 +35,8 @@
 const HEALTH_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// After how long a host that owes an answer and gave no sign of life is silent, from the design page.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// For how long a router may be held up between a check and the write that it allows.
+const HELD_UP: Duration = Duration::from_millis(150);
 /// The time constant over which a group's recent commands are counted.
 const RECENT_COMMANDS_WINDOW: Duration = Duration::from_secs(10);
 
--- a/crates/comethitch-policy/src/policy/selection.rs
+++ b/crates/comethitch-policy/src/policy/selection.rs
@@ -3,7 +3,7 @@
 //! Writes and strong reads go to the believed primary. Other reads are drawn at random among the fresh
 //! replicas of the router's subset; if none is fresh, the freshest that checks takes them, else the primary.
 
-use super::health::{HEALTH_CHECK_RETRY, STALENESS_MARGIN};
+use super::health::{HEALTH_CHECK_RETRY, usable_age};
 use super::*;
 use comethitch_fleet::subset::{self, Candidate};
 
@@ -141,7 +141,7 @@
             }
             Consistency::BoundedStaleness(bound) => self
                 .latest_host_time(now)
-                .is_some_and(|host_time| host_time - host.position <= bound - bound / STALENESS_MARGIN),
+                .is_some_and(|host_time| host_time - host.position <= usable_age(bound)),
             Consistency::Write | Consistency::Strong => false,
         }
     }
--- a/crates/comethitchd/src/main.rs
+++ b/crates/comethitchd/src/main.rs
@@ -89,7 +89,7 @@
         let clock = Clock::start();
         logger::start(self.log, self.log_form);
         let files = ConfigFiles { configuration: self.configuration, statements: self.statements };
-        let config = files.load()?;
+        let config = files.load_at_start()?;
         let protocol = choose_protocol(self.tds.as_deref(), &config)?;
         Ok(listen::run(config, clock, protocol, move || files.load())?)
     }
--- a/crates/comethitchd/src/service/command_line.rs
+++ b/crates/comethitchd/src/service/command_line.rs
@@ -2,13 +2,26 @@
 //! how a failed command ends the program.
 
 use crate::state::config::{Config, ConfigError};
+use crate::state::socket::is_local_shortage;
+use rustix::io::Errno;
 use std::fmt::Display;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// The environment variable that names the configuration if the command line does not.
 const CONFIG_VARIABLE: &str = "RELAY_CONFIG";
 
+/// How often a configuration that can't be read is tried again as a program starts, and the wait between two tries.
+const START_TRIES: u32 = 20;
+const START_RETRY_WAIT: Duration = Duration::from_millis(50);
+
+/// Whether a file that can't be read for this reason may be readable a moment later.
+fn may_pass(error: &io::Error) -> bool {
+    is_local_shortage(error) || Errno::from_io_error(error) == Some(Errno::IO)
+}
+
 /// The files of a configuration, as the command line names them.
 pub struct ConfigFiles {
     /// The configuration; without it, the environment names the file.
@@ -18,6 +31,24 @@
 }
 
 impl ConfigFiles {
+    /// Loads the configuration as a program starts: while this machine is short of something, or the disk fails, it is
+    /// tried again for a second.
+    ///
+    /// # Errors
+    ///
+    /// As [`ConfigFiles::load`].
+    pub fn load_at_start(&self) -> Result<Config, ConfigError> {
+        for _ in 0..START_TRIES {
+            match self.load() {
+                Err(ConfigError::UnreadableFile { source, .. }) if may_pass(&source) => {
+                    std::thread::sleep(START_RETRY_WAIT);
+                }
+                result => return result,
+            }
+        }
+        self.load()
+    }
+
     /// Loads the configuration, with the rules for statements.
     ///
     /// # Errors
--- a/crates/comethitchd/src/stages/updates.rs
+++ b/crates/comethitchd/src/stages/updates.rs
@@ -10,7 +10,7 @@
 
 /// Why a reloaded configuration is not applied.
 #[derive(Debug, thiserror::Error)]
-enum ReloadError {
+pub enum ReloadError {
     /// The protocol that is spoken has one dialect.
     #[error("dialect has changed, which needs a new start")]
     DialectChanged,
@@ -31,21 +31,19 @@
     policy_driver::call(state, |router, actions| router.update_endpoints(&update, actions));
 }
 
-/// Applies what a reloaded configuration changes. A faulty one is logged, and changes nothing.
-pub fn reload(state: &RouterState, reloaded: Result<Config, ConfigError>) {
+/// Applies what a reloaded configuration changes.
+///
+/// # Errors
+/// If it is faulty; then it changes nothing.
+pub fn reload(state: &RouterState, reloaded: Result<Config, ConfigError>) -> Result<(), ReloadError> {
     // All or nothing: what can fail comes before what changes anything.
-    let applied = reloaded.map_err(ReloadError::from).and_then(|config| {
-        reload_statement_rules(state, &config)?;
-        Ok(config)
-    });
-    let config = match applied {
-        Ok(config) => config,
-        Err(error) => return log::error!("the configuration stays as it was: {error}"),
-    };
+    let config = reloaded?;
+    reload_statement_rules(state, &config)?;
     for key in state.config.fixed_keys_changed(&config) {
         log::warn!("{key} has changed, and takes effect only after a restart");
     }
     reload_discovery(state, &config);
+    Ok(())
 }
 
 fn reload_discovery(state: &RouterState, config: &Config) {
