State transitions, clocks and attempts in the log; clock checks become rarer in vain

A primary whose reports stand still would have been asked for the time four times a second by every router: after four checks in vain the interval doubles, up to four seconds. The ledger's rules 'told' and 'gone' are tripped by planted faults.

--- a/crates/comethitch-lab/src/ledger/tests.rs
+++ b/crates/comethitch-lab/src/ledger/tests.rs
@@ -51,6 +51,19 @@
         answer(l, 90)
     });
     assert_eq!(unsent, Vec::<String>::new(), "what surely did not run may go again");
+    let told = |l: &mut Ledger, ms| {
+        l.time_told(1, Duration::from_millis(ms), Timestamp::from_micros(500));
+        answer(l, 90);
+    };
+    found(&|l| told(l, 151), "its host was told");
+    assert_eq!(after(|l| told(l, 150)), Vec::<String>::new(), "within the slack it may");
+    let left = |l: &mut Ledger, ms| {
+        l.attempt_never_ran(1);
+        l.client_left(1, Timestamp::from_millis(2));
+        l.check_attempt_allowed(1, Timestamp::from_millis(ms));
+    };
+    found(&|l| left(l, 103), "its client had left");
+    assert_eq!(after(|l| left(l, 102)), Vec::<String>::new(), "a tenth of a second later it may");
     let mut refused = Ledger::new(Duration::from_micros(100), Duration::from_micros(40), Timestamp::ZERO);
     refused.request_sent(REQUEST);
     let report = refused.close(Timestamp::from_millis(5), &|_, _| true);
--- a/crates/comethitch-lab/src/soak.rs
+++ b/crates/comethitch-lab/src/soak.rs
@@ -13,7 +13,7 @@
 /// Faults begin after this long: routers have found their hosts.
 const FIRST_FAULT_MS: u64 = 800;
 /// The system's calls of a router, one of these; most routers have some trouble of their own.
-const SYSTEM_CALLS: [&str; 12] = [
+const SYSTEM_CALLS: [&str; 13] = [
     "",
     "",
     "interrupt=30",
@@ -26,6 +26,7 @@
     "wall_ms=4000,mend_ms=3000",
     "step_ms=3600000,step_every_ms=1500",
     "hold=150,hold_ms=120,stderr=3",
+    "socket=30,connect=30,wait=30",
 ];
 
 /// The trial of a seed, in which clients send for so many seconds.
--- a/crates/comethitch-policy/src/policy/host_clock.rs
+++ b/crates/comethitch-policy/src/policy/host_clock.rs
@@ -11,6 +11,10 @@
 
 /// How many reports are remembered, of primaries and of all hosts.
 const REMEMBERED_REPORTS: usize = 16;
+/// So many checks in a row are made at the shortest interval though none reported anything, and the interval doubles at
+/// most so often after that.
+const PROMPT_CLOCK_CHECKS: u32 = 4;
+const MAX_DOUBLINGS: u32 = 4;
 /// With fewer reports of primaries the estimate of a clock that is wrong is not good enough.
 const MIN_PRIMARY_REPORTS: usize = 4;
 /// A position this far past the router's clock shows that the clock is behind, in microseconds.
@@ -28,16 +32,22 @@
 }
 
 /// How the router's clock stands to the hosts'.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ClockState {
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ClockState {
     /// No primary has reported yet.
+    #[default]
     Unproven,
     /// It agrees, as far as reports show.
     Agrees,
     /// It is wrong, and reports do not show yet by how much.
     Wrong,
     /// It is wrong by at least `offset` microseconds, and at most `uncertainty` more.
-    Corrected { offset: i64, uncertainty: i64 },
+    Corrected {
+        /// By how much the hosts' time is past the router's at the least, in microseconds.
+        offset: i64,
+        /// How much more it may be, in microseconds.
+        uncertainty: i64,
+    },
 }
 
 fn shifted(time: Timestamp, micros: i64) -> Timestamp {
@@ -109,6 +119,11 @@
 }
 
 impl Router {
+    /// How the router's clock stands to the hosts', for the log.
+    pub fn clock_state(&self) -> ClockState {
+        self.host_clock.state()
+    }
+
     /// Whether the age of positions rests on the hosts' clock, and primaries can be asked for it. Elsewhere replicas
     /// check the age of their data themselves, or nothing but answers tells of it.
     pub(super) fn must_prove_clock(&self) -> bool {
@@ -135,9 +150,13 @@
             None => self.group_of(index).primary == Some(index),
         };
         self.host_clock.observe(position, by_primary, now);
+        if by_primary {
+            self.unanswered_clock_checks = 0;
+        }
     }
 
-    /// Asks one believed primary for the hosts' time while that is not known, each time another one.
+    /// Asks one believed primary for the hosts' time while that is not known, each time another one, and less often while
+    /// none reports anything new: hundreds of routers may ask.
     pub(super) fn prove_clock(&mut self, out: &mut dyn Actions) {
         let now = out.now();
         if !self.must_prove_clock() || now < self.next_clock_check || !self.host_clock.needs_reports() {
@@ -146,7 +165,9 @@
         let askable: Vec<HostIndex> = self.askable_primaries(now).collect();
         let Some(index) = askable.get(self.clock_checks % askable.len().max(1)).copied() else { return };
         self.clock_checks += 1;
-        self.next_clock_check = now + health::HEALTH_CHECK_RETRY;
+        let doublings = self.unanswered_clock_checks.saturating_sub(PROMPT_CLOCK_CHECKS).min(MAX_DOUBLINGS);
+        self.next_clock_check = now + health::HEALTH_CHECK_RETRY * (1 << doublings);
+        self.unanswered_clock_checks += 1;
         self.send_health_check(index, out);
     }
 
--- a/crates/comethitch-policy/src/policy/mod.rs
+++ b/crates/comethitch-policy/src/policy/mod.rs
@@ -19,6 +19,7 @@
 mod selection;
 mod send_guard;
 
+pub use host_clock::ClockState;
 pub(crate) use host_clock::HostClock;
 
 use crate::command::{Attempt, Command};
--- a/crates/comethitch-policy/src/router.rs
+++ b/crates/comethitch-policy/src/router.rs
@@ -4,7 +4,7 @@
 
 use crate::command::{Attempt, Command};
 use crate::histogram::Histogram;
-use crate::host_group::HostGroup;
+use crate::host_group::{GroupState, HostGroup};
 use crate::host_table::{HostIndex, HostTable};
 use crate::policy::HostClock;
 use crate::time::{Duration, Timestamp};
@@ -34,8 +34,11 @@
     pub(crate) service_times: Vec<Histogram>,
     /// What reports show of the hosts' clock.
     pub(crate) host_clock: HostClock,
-    /// How often a primary was asked for the hosts' time alone, and when one may be asked again.
+    /// How often a primary was asked for the hosts' time alone.
     pub(crate) clock_checks: usize,
+    /// How often since a primary last reported anything new.
+    pub(crate) unanswered_clock_checks: u32,
+    /// When one may be asked again.
     pub(crate) next_clock_check: Timestamp,
     /// How old a primary's report of its position is: pure age, as a primary has all commits.
     pub(crate) report_age: Histogram,
@@ -92,6 +95,7 @@
             service_times: Vec::new(),
             host_clock: HostClock::default(),
             clock_checks: 0,
+            unanswered_clock_checks: 0,
             next_clock_check: Timestamp::ZERO,
             report_age: Histogram::default(),
             session_commits: SessionCommits::default(),
@@ -108,6 +112,11 @@
         self.commands.contains_key(&id).then_some(Handle(id))
     }
 
+    /// The state of each group of hosts and how many failovers it has seen, for the log.
+    pub fn group_states(&self) -> impl Iterator<Item = (Shard, GroupState, u32)> {
+        self.host_groups.iter().map(|(shard, group)| (*shard, group.state, group.serial))
+    }
+
     /// How many host entries are allocated: those of removed hosts are used again.
     pub fn host_entries(&self) -> usize {
         self.hosts.len()
--- a/crates/comethitchd/src/protocols/attempt.rs
+++ b/crates/comethitchd/src/protocols/attempt.rs
@@ -8,7 +8,7 @@
 use crate::state::router_state::RouterState;
 use crate::state::socket::Socket;
 use comethitch_policy::time::{Duration, Timestamp};
-use comethitch_policy::{CommandId, Host, SendRefusal};
+use comethitch_policy::{AttemptOutcome, CommandId, Host, SendRefusal};
 use std::future::Future;
 use std::rc::{Rc, Weak};
 
@@ -87,13 +87,27 @@
         }
     }
 
+    fn host_name(&self) -> String {
+        self.state.endpoints.borrow().name(self.host).to_string()
+    }
+
+    /// Logs its start, for whoever follows a command's id.
+    fn log_start(&self) {
+        let id = &self.statement.client_id;
+        log::debug!(id, host = self.host_name().as_str(), attempt = self.number; "attempt started");
+    }
+
+    fn log_end(&self, outcome: AttemptOutcome) {
+        let id = &self.statement.client_id;
+        log::debug!(id, host = self.host_name().as_str(), attempt = self.number, outcome:?; "attempt ended");
+    }
+
     /// Counts and logs that it was not sent.
     pub fn record_refused(&self, refused: SendRefused) {
         let reason = refused.name();
         self.state.metrics.sends_refused.increment(reason);
         let id = &self.statement.client_id;
-        let host = self.state.endpoints.borrow().name(self.host).to_string();
-        log::debug!(id, host, attempt = self.number, reason; "attempt not sent");
+        log::debug!(id, host = self.host_name().as_str(), attempt = self.number, reason; "attempt not sent");
     }
 }
 
@@ -120,8 +134,10 @@
         command,
         number,
     });
-    let task = state.tasks.spawn(run(attempt, send));
+    let task = state.tasks.spawn(run(attempt.clone(), send));
     commands.record_attempt(command, Some(task));
+    drop(commands);
+    attempt.log_start();
     None
 }
 
@@ -135,6 +151,7 @@
     if let Some(shape) = shape.filter(|_| result.completion.is_ok()) {
         state.record_statement_latency(shape, state.clock.now() - started);
     }
+    attempt.log_end(result.outcome());
     state.record_host_outcome(attempt.host, result.outcome(), result.note.role);
     policy_driver::attempt_ended(&state, attempt.command, attempt.number, result);
 }
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -291,13 +291,14 @@
     }
 }
 
-/// Closes connections that have been idle too long, and logs the counts at intervals.
+/// Closes connections that have been idle too long, logs what changed and, at longer intervals, the counts.
 async fn sweep(state: Rc<RouterState>) {
     for round in 1.. {
         Timer::after(SWEEP_INTERVAL).await;
         let now = state.clock.now();
         state.pool.borrow_mut().close_expired(now);
         state.clients.close_expired(now);
+        state.transitions.log_changes(&state.router.borrow());
         if round % SWEEPS_PER_REPORT == 0 {
             log_metrics(&state);
         }
--- a/crates/comethitchd/src/stages/policy_driver.rs
+++ b/crates/comethitchd/src/stages/policy_driver.rs
@@ -148,6 +148,9 @@
 /// The client has disconnected, or has cancelled its command: the command needs no answer any more.
 pub fn client_disconnected(state: &Rc<RouterState>, id: CommandId) {
     state.metrics.clients_disconnected.increment();
+    if let Some(statement) = state.commands.borrow().statement(id) {
+        log::debug!(id = statement.client_id; "client disconnected or cancelled");
+    }
     state.commands.borrow_mut().abandon(id);
     call(state, |router, actions| {
         if let Some(handle) = router.handle(id) {
--- a/crates/comethitchd/src/state/mod.rs
+++ b/crates/comethitchd/src/state/mod.rs
@@ -23,3 +23,4 @@
 pub mod signals;
 pub mod socket;
 pub mod stall_detector;
+pub mod transition_log;
--- a/crates/comethitchd/src/state/router_state.rs
+++ b/crates/comethitchd/src/state/router_state.rs
@@ -16,6 +16,7 @@
 use crate::state::protocol::BackendProtocol;
 use crate::state::signals::OneShotEvent;
 use crate::state::stall_detector::StallDetector;
+use crate::state::transition_log::TransitionLog;
 use async_executor::LocalExecutor;
 use comethitch_policy::time::{Duration, Timestamp};
 use comethitch_policy::{AttemptOutcome, Host, Role, Router};
@@ -73,6 +74,8 @@
     pub admission: RefCell<Option<StatementAdmission>>,
     /// Counts for the log.
     pub metrics: Metrics,
+    /// What was logged of the policy's view.
+    pub transitions: TransitionLog,
     /// Detects stalls of the event loop.
     pub stalls: StallDetector,
     /// The longest timeout of any command group.
@@ -106,6 +109,7 @@
             ready: OneShotEvent::default(),
             admission: RefCell::new(admission),
             metrics: Metrics::default(),
+            transitions: TransitionLog::default(),
             stalls: StallDetector::new(clock.now()),
             longest_timeout: timeouts.max().unwrap_or_default(),
             config,
--- /dev/null
+++ b/crates/comethitchd/src/state/transition_log.rs
@@ -0,0 +1,50 @@
+//! Logs what changed of the policy's view of the fleet: the states of groups of hosts, and how the router's clock stands to
+//! the hosts'.
+
+use comethitch_policy::{ClockState, GroupState, Router, Shard};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+/// The view that was logged last.
+#[derive(Default)]
+pub struct TransitionLog {
+    groups: RefCell<BTreeMap<Shard, (GroupState, u32)>>,
+    clock: Cell<ClockState>,
+}
+
+impl TransitionLog {
+    /// Logs what has changed since the last call. Changes that came and went in between are not seen.
+    pub fn log_changes(&self, router: &Router) {
+        self.log_groups(router);
+        self.log_clock(router.clock_state());
+    }
+
+    fn log_groups(&self, router: &Router) {
+        let mut groups = self.groups.borrow_mut();
+        for (shard, state, serial) in router.group_states() {
+            let before = groups.insert(shard, (state, serial)).unwrap_or_default();
+            if before != (state, serial) {
+                log::info!(group = shard, serial; "group {shard} went from {:?} to {state:?}", before.0);
+            }
+        }
+    }
+
+    fn log_clock(&self, state: ClockState) {
+        let before = self.clock.replace(state);
+        if std::mem::discriminant(&before) == std::mem::discriminant(&state) {
+            return;
+        }
+        match state {
+            ClockState::Corrected { offset, uncertainty } => log::warn!(
+                "the wall clock at the start was wrong: the hosts' time is {} to {} ms past it",
+                offset / 1000,
+                (offset + uncertainty) / 1000
+            ),
+            ClockState::Wrong => {
+                log::warn!("the wall clock at the start was wrong; hosts are asked for the time")
+            }
+            ClockState::Agrees => log::info!("the hosts' time agrees with the wall clock at the start"),
+            ClockState::Unproven => {}
+        }
+    }
+}
