--- a/crates/comethitch-lab/src/ledger.rs
+++ b/crates/comethitch-lab/src/ledger.rs
@@ -97,6 +97,8 @@
     start: Timestamp,
     commands: BTreeMap<u64, CommandRecord>,
     requests: BTreeMap<u64, RequestRecord>,
+    /// What became of commands that got no answer, as their clients saw it.
+    courses: BTreeMap<u64, String>,
     violations: Vec<String>,
     violation_count: u64,
     peak_cold_load: f64,
@@ -122,6 +124,7 @@
             start,
             commands: BTreeMap::new(),
             requests: BTreeMap::new(),
+            courses: BTreeMap::new(),
             violations: Vec::new(),
             violation_count: 0,
             peak_cold_load: 0.0,
@@ -146,6 +149,11 @@
         self.slack = slack;
     }
 
+    /// A command got no answer: what its client saw.
+    pub fn unanswered(&mut self, command: u64, course: String) {
+        self.courses.insert(command, course);
+    }
+
     /// A command's client closed its connection.
     pub fn client_left(&mut self, command: u64, at: Timestamp) {
         if let Some(record) = self.commands.get_mut(&command) {
@@ -356,7 +364,9 @@
         let unanswered = self.commands.iter().filter(|(_, record)| record.is_owed_an_answer(end));
         let unanswered: Vec<u64> = unanswered.map(|(command, _)| *command).collect();
         for command in unanswered {
-            self.record_violation(Rule::OneFinalAnswer, format!("command {command} got no final answer"));
+            let course = self.courses.remove(&command).unwrap_or_default();
+            let description = format!("command {command} got no final answer: {course}");
+            self.record_violation(Rule::OneFinalAnswer, description);
         }
     }
 
--- a/crates/comethitch-lab/src/live/clients.rs
+++ b/crates/comethitch-lab/src/live/clients.rs
@@ -13,7 +13,7 @@
 use futures_lite::{AsyncWriteExt, future};
 use rand::RngExt;
 use rand_distr::{Distribution, Exp};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::TcpStream;
 use std::rc::Rc;
 
@@ -81,7 +81,9 @@
         None => serving_router(fleet, own_router)?,
     };
     let idle = take_idle(fleet, pool, router);
-    let exchange = Exchange { fleet, pool, router, command, number: fleet.next_number() };
+    let number = fleet.next_number();
+    let taken_by = Cell::new(router);
+    let exchange = Exchange { fleet, pool, router, command, number, course: RefCell::default(), taken_by };
     let late = async {
         sleep(exchange.timeout() + SLACK + LATE_ANSWER_GRACE).await;
         None
@@ -148,6 +150,10 @@
     router: RouterIncarnation,
     command: ClientCommand,
     number: u64,
+    /// What became of it on each connection, for the report of one that got no answer.
+    course: RefCell<Vec<String>>,
+    /// The router that had it last.
+    taken_by: Cell<RouterIncarnation>,
 }
 
 impl Exchange<'_> {
@@ -199,9 +205,21 @@
 
     async fn execute_elsewhere(&self, query: &[u8]) -> Option<Answer> {
         let router = serving_router(self.fleet, self.router.router)?;
-        let elsewhere = Exchange { router, ..*self };
-        let stream = elsewhere.connect().await?;
-        elsewhere.execute(stream, query).await.answer
+        let elsewhere = Exchange { router, course: RefCell::default(), taken_by: Cell::new(router), ..*self };
+        let Some(stream) = elsewhere.connect().await else {
+            self.add_course(&format!("no connection to router {}", router.router));
+            return None;
+        };
+        let reply = elsewhere.execute(stream, query).await;
+        // The other router may have been killed or stopped meanwhile: it owes nothing.
+        self.taken_by.set(router);
+        self.course.borrow_mut().append(&mut elsewhere.course.borrow_mut());
+        reply.answer
+    }
+
+    fn add_course(&self, event: &str) {
+        let millis = (now() - self.command.request.sent_at).as_micros() / 1_000;
+        self.course.borrow_mut().push(format!("{event} at router {}, {millis} ms", self.router.router));
     }
 
     fn record_received(&self) {
@@ -215,8 +233,10 @@
     async fn execute(&self, mut stream: Async<TcpStream>, query: &[u8]) -> Reply {
         let mut reply = Reply::default();
         if stream.write_all(query).await.is_err() {
+            self.add_course("not written");
             return reply;
         }
+        self.add_course("written");
         while let Ok(Message { kind, body }) = read_message(&mut stream).await {
             reply.begun = true;
             match kind {
@@ -230,6 +250,7 @@
                 _ => {}
             }
         }
+        self.add_course("closed");
         reply
     }
 
@@ -241,10 +262,14 @@
 
     /// Records the outcome; a router that was killed or stopped meanwhile owes none.
     fn record(&self, answer: Option<Answer>) {
-        let is_owed = self.fleet.processes.borrow().owes(self.router);
+        let processes = self.fleet.processes.borrow();
+        let is_owed = processes.owes(self.router) && processes.owes(self.taken_by.get());
+        drop(processes);
         let mut ledger = self.fleet.ledger.borrow_mut();
         if !is_owed {
             ledger.router_lost(self.number);
+        } else if answer.is_none() {
+            ledger.unanswered(self.number, self.course.borrow().join(", "));
         } else if let Some(answer) = answer {
             ledger.answer_received(self.number, now(), answer);
         }
