Replicas that agree with the router's clock stand in where no primary reports

Cause: primaries there have no connection slot for the question, so that the hosts' time stayed unknown and no replica served (policy/host_clock.rs).

Change: where a primary's report is wanted for half a second, replicas whose positions agree with the router's clock stand in; one that disagrees by an hour still needs primaries.

The signals' and the addresses' code have modules of their own (moved, unchanged).

--- a/crates/comethitch-policy/src/policy/host_clock.rs
+++ b/crates/comethitch-policy/src/policy/host_clock.rs
@@ -4,13 +4,16 @@
 //! A primary's report is its position at some moment before it came here, so that the difference to the router's clock
 //! is never more than that of the two clocks, and the greatest of several is near to it. From that follow two
 //! estimates: the latest that the hosts' time can be, for the age of data, and the earliest, for how long ago a host
-//! started. While no primary has reported, neither is known, and nothing rests on the router's own clock.
+//! started. While no primary has reported, neither is known, and nothing rests on the router's own clock; if none does
+//! for half a second, as primaries are out of reach, replicas whose positions agree with that clock stand in.
 
 use super::*;
 use std::collections::VecDeque;
 
 /// How many reports are remembered, of primaries and of all hosts.
 const REMEMBERED_REPORTS: usize = 16;
+/// For so long a first report of a primary is waited for, before replicas that agree with the router's clock stand in.
+const PRIMARY_PATIENCE: Duration = Duration::from_millis(500);
 /// So many checks in a row are made at the shortest interval though none reported anything, and the interval doubles at
 /// most so often after that.
 const PROMPT_CLOCK_CHECKS: u32 = 4;
@@ -29,6 +32,10 @@
     primaries: VecDeque<i64>,
     /// The same of all other hosts, whose positions lag.
     others: VecDeque<i64>,
+    /// Since when a primary's report is wanted.
+    wanted_since: Option<Timestamp>,
+    /// No primary has reported for so long that replicas which agree with the router's clock stand in.
+    replicas_stand_in: bool,
 }
 
 /// How the router's clock stands to the hosts'.
@@ -69,12 +76,19 @@
         remember(if by_primary { &mut self.primaries } else { &mut self.others }, offset);
     }
 
+    /// The greatest difference that counts: the primaries', or that of replicas where they stand in.
+    fn newest(&self) -> Option<i64> {
+        let replicas = self.others.iter().filter(|_| self.replicas_stand_in);
+        self.primaries.iter().copied().max().or_else(|| replicas.copied().max())
+    }
+
     fn state(&self) -> ClockState {
-        let Some(newest) = self.primaries.iter().copied().max() else { return ClockState::Unproven };
+        let Some(newest) = self.newest() else { return ClockState::Unproven };
         let offset = self.others.iter().copied().fold(newest, i64::max);
         if (-AHEAD_TOLERANCE..=BEHIND_TOLERANCE).contains(&offset) {
             return ClockState::Agrees;
         }
+        // Replicas may stand still: they show that a clock is wrong, and not by how much.
         if self.primaries.len() < MIN_PRIMARY_REPORTS {
             return ClockState::Wrong;
         }
@@ -86,7 +100,13 @@
 
     /// Whether more reports of primaries would tell more.
     pub(super) fn needs_reports(&self) -> bool {
-        matches!(self.state(), ClockState::Unproven | ClockState::Wrong)
+        self.primaries.is_empty() || self.state() == ClockState::Wrong
+    }
+
+    /// Notes that a primary's report is wanted now.
+    pub(super) fn want_report(&mut self, now: Timestamp) {
+        let since = *self.wanted_since.get_or_insert(now);
+        self.replicas_stand_in |= now - since > PRIMARY_PATIENCE;
     }
 
     /// The latest that the hosts' time can be at a time of the router's, if that is known.
@@ -100,7 +120,7 @@
 
     /// The earliest that the hosts' time can be at a time of the router's, if that is known.
     pub(super) fn earliest(&self, at: Timestamp) -> Option<Timestamp> {
-        let newest = self.primaries.iter().copied().max()?;
+        let newest = self.newest()?;
         let offset = self.others.iter().copied().fold(newest, i64::max);
         Some(if self.state() == ClockState::Agrees {
             shifted(at, offset.min(0))
@@ -159,7 +179,11 @@
     /// none reports anything new: hundreds of routers may ask.
     pub(super) fn prove_clock(&mut self, out: &mut dyn Actions) {
         let now = out.now();
-        if !self.must_prove_clock() || now < self.next_clock_check || !self.host_clock.needs_reports() {
+        if !self.must_prove_clock() || !self.host_clock.needs_reports() {
+            return;
+        }
+        self.host_clock.want_report(now);
+        if now < self.next_clock_check {
             return;
         }
         let askable: Vec<HostIndex> = self.askable_primaries(now).collect();
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -1,16 +1,17 @@
 //! Listens for clients from the start of a router to its graceful shutdown.
 
+use crate::service::bind::bind_all;
 use crate::service::protocol::Protocol;
 use crate::service::received_signals::ReceivedSignals;
+use crate::service::reload::handle_signals;
 use crate::service::{endpoint_watch, startup};
-use crate::stages::{policy_driver, updates};
+use crate::stages::policy_driver;
 use crate::state::clock::{Clock, after};
 use crate::state::config::{Config, ConfigError};
 use crate::state::metrics_report::log_metrics;
 use crate::state::protocol::ClientProtocol;
 use crate::state::router_state::RouterState;
 use crate::state::signals::OneShotEvent;
-use crate::state::socket::is_local_shortage;
 use async_io::{Async, Timer};
 use futures_lite::{FutureExt, StreamExt};
 use std::future::{Future, poll_fn};
@@ -18,7 +19,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::task::Poll;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// With an endpoint list from its configuration a router waits this long for discovery's own, then serves with that.
 const KNOWN_LIST_WAIT: Duration = Duration::from_secs(1);
@@ -39,18 +40,6 @@
 const SWEEPS_PER_REPORT: u32 = 40;
 /// How many connections may wait to be accepted.
 const BACKLOG: i32 = 1024;
-/// For so long an address is tried again that can't be listened on as this machine is short of something, or as the
-/// process before this one still holds it.
-const BIND_PATIENCE: Duration = Duration::from_secs(5);
-/// The wait between two of these tries.
-const BIND_RETRY_WAIT: Duration = Duration::from_millis(50);
-/// For so long a configuration that can't be read or is faulty is read again: what it says counts four seconds after the
-/// signal.
-const RELOAD_PATIENCE: Duration = Duration::from_secs(3);
-/// The wait between two of these tries.
-const RELOAD_RETRY_WAIT: Duration = Duration::from_millis(100);
-/// How often it is looked at whether a signal has come.
-const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a router can't serve.
 #[derive(Debug, thiserror::Error)]
@@ -91,91 +80,6 @@
     })
 }
 
-async fn bind_all(
-    listen: SocketAddr, also_listen: &[SocketAddr],
-) -> Result<Vec<Async<TcpListener>>, ServeError> {
-    let give_up_at = Instant::now() + BIND_PATIENCE;
-    let mut listeners = Vec::new();
-    for address in std::iter::once(&listen).chain(also_listen) {
-        listeners.push(bind(*address, give_up_at).await?);
-    }
-    Ok(listeners)
-}
-
-/// Binds an address, and tries again while what hinders it may pass.
-async fn bind(address: SocketAddr, give_up_at: Instant) -> Result<Async<TcpListener>, ServeError> {
-    loop {
-        match Async::<TcpListener>::bind(address) {
-            Ok(listener) => return Ok(listener),
-            Err(source) if may_pass(&source) && Instant::now() < give_up_at => {
-                log::warn!("can't listen on {address} yet: {source}");
-                Timer::after(BIND_RETRY_WAIT).await;
-            }
-            Err(source) => return Err(ServeError::Bind { address, source }),
-        }
-    }
-}
-
-fn may_pass(error: &io::Error) -> bool {
-    is_local_shortage(error) || error.kind() == io::ErrorKind::AddrInUse
-}
-
-/// Handles signals up to the end: neither signal to stop may kill a router that is shutting down.
-async fn handle_signals(
-    state: Rc<RouterState>, signals: ReceivedSignals, stop: OneShotEvent,
-    load_config: impl Fn() -> Result<Config, ConfigError>,
-) {
-    let mut pending = None;
-    loop {
-        Timer::after(SIGNAL_POLL_INTERVAL).await;
-        if signals.take_reload() {
-            pending = Some(PendingReload::new(Instant::now()));
-        }
-        pending = pending.and_then(|reload: PendingReload| reload.try_once(&state, &load_config));
-        if signals.stop_requested() {
-            stop.set();
-        }
-    }
-}
-
-/// A reload that was asked for. The file may still be being written, or be out of reach for a moment: it is read again for
-/// a while.
-#[derive(Clone, Copy)]
-struct PendingReload {
-    next_try: Instant,
-    give_up_at: Instant,
-    has_failed: bool,
-}
-
-impl PendingReload {
-    fn new(now: Instant) -> PendingReload {
-        PendingReload { next_try: now, give_up_at: now + RELOAD_PATIENCE, has_failed: false }
-    }
-
-    /// Reads the configuration if it is time to. Returns what is still pending.
-    fn try_once(
-        mut self, state: &RouterState, load_config: &impl Fn() -> Result<Config, ConfigError>,
-    ) -> Option<PendingReload> {
-        let now = Instant::now();
-        if now < self.next_try {
-            return Some(self);
-        }
-        let error = updates::reload(state, load_config()).err()?;
-        if !self.has_failed {
-            log::error!(
-                "the configuration stays as it was: {error}; it is read again for {RELOAD_PATIENCE:?}"
-            );
-        }
-        if now >= self.give_up_at {
-            log::error!("the configuration stays as it was until the next SIGHUP: {error}");
-            return None;
-        }
-        self.has_failed = true;
-        self.next_try = now + RELOAD_RETRY_WAIT;
-        Some(self)
-    }
-}
-
 /// Serves until `stop` is complete, then shuts down gracefully: what was received or is still coming is answered.
 pub async fn serve(
     state: Rc<RouterState>, protocol: Rc<dyn ClientProtocol<RouterState>>,
--- a/crates/comethitchd/src/service/mod.rs
+++ b/crates/comethitchd/src/service/mod.rs
@@ -1,6 +1,7 @@
 //! Start and stop: the command lines, the log, the watch of the endpoint list, and listening until a signal; and the
 //! tools `classify` and `trail`.
 
+pub mod bind;
 pub mod classify;
 pub mod command_line;
 pub mod discovery_client;
@@ -9,5 +10,6 @@
 pub mod logger;
 pub mod protocol;
 pub mod received_signals;
+pub mod reload;
 pub mod startup;
 pub mod trail;
