--- a/crates/comethitch-lab/shim/system_calls.c
+++ b/crates/comethitch-lab/shim/system_calls.c
@@ -19,6 +19,7 @@
  *   mend_ms=N        ... until so long after the start; for good if it is left out
  *   step_ms=N        the wall clock is stepped by so much, and back ...
  *   step_every_ms=N  ... this often
+ *   share=N          the process has one part in N of a core: for what each thread used of one it waits N - 1 times as long
  *   from_ms=N        calls fail from so long after the start on ...
  *   until_ms=N       ... to so long after it
  */
@@ -38,12 +39,12 @@
 
 enum setting {
     SEED, INTERRUPT, SHORT, SOCKET, SOCKET_FIRST, ACCEPT, CONNECT, WAIT, HOLD, HOLD_MS, STDERR, WALL_MS,
-    MEND_MS, STEP_MS, STEP_EVERY_MS, FROM_MS, UNTIL_MS, SETTINGS
+    MEND_MS, STEP_MS, STEP_EVERY_MS, SHARE, FROM_MS, UNTIL_MS, SETTINGS
 };
 
 static const char *const names[SETTINGS] = {
     "seed", "interrupt", "short", "socket", "socket_first", "accept", "connect", "wait", "hold", "hold_ms",
-    "stderr", "wall_ms", "mend_ms", "step_ms", "step_every_ms", "from_ms", "until_ms"
+    "stderr", "wall_ms", "mend_ms", "step_ms", "step_every_ms", "share", "from_ms", "until_ms"
 };
 
 static long settings[SETTINGS];
@@ -111,6 +112,27 @@
     return length < most ? length : most;
 }
 
+/* Shorter waits are put off: the system wakes a thread late by some tens of microseconds. */
+#define LEAST_WAIT_NS 1000000
+
+/* Waits for the processor time that this thread has used since the last call, as a process with a share of a core would.
+ * All that the daemon does between two of the calls below counts, so that a long computation is one long wait. */
+static void wait_for_share(void) {
+    static __thread int64_t counted_ns, owed_ns;
+    if (settings[SHARE] <= 1)
+        return;
+    int64_t used_ns = clock_ns(CLOCK_THREAD_CPUTIME_ID);
+    if (calls_fail())
+        owed_ns += (used_ns - counted_ns) * (settings[SHARE] - 1);
+    counted_ns = used_ns;
+    if (owed_ns < LEAST_WAIT_NS)
+        return;
+    int64_t from_ns = clock_ns(CLOCK_MONOTONIC);
+    struct timespec span = { owed_ns / 1000000000, owed_ns % 1000000000 };
+    syscall(SYS_nanosleep, &span, NULL);
+    owed_ns -= clock_ns(CLOCK_MONOTONIC) - from_ns;
+}
+
 static void hold_up(int fd) {
     if (settings[HOLD] > 0 && is_tcp(fd) && happens(HOLD)) {
         struct timespec span = { settings[HOLD_MS] / 1000, settings[HOLD_MS] % 1000 * 1000000 };
@@ -119,6 +141,7 @@
 }
 
 ssize_t recv(int fd, void *buffer, size_t length, int flags) {
+    wait_for_share();
     if (happens(INTERRUPT)) {
         errno = EINTR;
         return -1;
@@ -129,6 +152,7 @@
 }
 
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
+    wait_for_share();
     if (happens(INTERRUPT)) {
         errno = EINTR;
         return -1;
@@ -144,6 +168,7 @@
 }
 
 ssize_t read(int fd, void *buffer, size_t length) {
+    wait_for_share();
     if (settings[INTERRUPT] > 0 && is_socket(fd) && happens(INTERRUPT)) {
         errno = EINTR;
         return -1;
@@ -152,6 +177,7 @@
 }
 
 ssize_t write(int fd, const void *buffer, size_t length) {
+    wait_for_share();
     if (fd == STDERR_FILENO && happens(STDERR)) {
         errno = draw() % 2 ? ENOSPC : EIO;
         return -1;
@@ -199,6 +225,7 @@
 }
 
 int clock_gettime(clockid_t clock, struct timespec *now) {
+    wait_for_share();
     int result = syscall(SYS_clock_gettime, clock, now);
     if (result == 0 && clock == CLOCK_REALTIME) {
         int64_t passed = since_start_ms();
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -20,7 +20,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::{JoinHandle, spawn};
 use std::time::{Duration, SystemTime};
 
@@ -154,7 +154,7 @@
 pub struct Program {
     pub child: std::process::Child,
     pub file: std::path::PathBuf,
-    pub log: Box<dyn Iterator<Item = String>>,
+    pub log: Box<dyn Iterator<Item = String> + Send>,
     pub address: SocketAddr,
 }
 
@@ -188,7 +188,7 @@
             .spawn()
             .expect("started");
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
-        let mut log: Box<dyn Iterator<Item = String>> = Box::new(lines.map_while(Result::ok));
+        let mut log: Box<dyn Iterator<Item = String> + Send> = Box::new(lines.map_while(Result::ok));
         let line = log.find(|line| line.contains(" listens on ")).expect("a line");
         // The address ends the message, and in JSON its text.
         let address = line.split(" listens on ").nth(1).and_then(|rest| rest.split([' ', '"']).next());
@@ -221,6 +221,19 @@
         self.log.find(|line| line.contains(wanted)).expect(wanted);
     }
 
+    /// Reads the rest of its log as it comes, and collects the lines that hold the text.
+    pub fn collect_log(&mut self, wanted: &'static str) -> Arc<Mutex<Vec<String>>> {
+        let log = std::mem::replace(&mut self.log, Box::new(std::iter::empty()));
+        let collected = Arc::new(Mutex::new(Vec::new()));
+        let lines = collected.clone();
+        spawn(move || {
+            for line in log.filter(|line| line.contains(wanted)) {
+                lines.lock().expect("the lines").push(line);
+            }
+        });
+        collected
+    }
+
     /// Waits until it ends by itself, which it must with 0.
     pub fn ends(mut self) {
         assert!(self.child.wait().expect("an end").success());
