Log how long each step of the event loop takes

Cause: the log told of stalls of the event loop, not of what stood in its way, so that the hypotheses of the incident could not be told apart: a slow list, slow ticks, or every event.

--- a/crates/comethitchd/src/protocols/health_check.rs
+++ b/crates/comethitchd/src/protocols/health_check.rs
@@ -3,6 +3,7 @@
 use crate::stages::policy_driver;
 use crate::state::host_connection::{ConnectionError, attempt_outcome};
 use crate::state::router_state::RouterState;
+use crate::state::step_times::EventLoopStep;
 use comethitch_policy::{Host, HostReport};
 use std::future::Future;
 use std::rc::Rc;
@@ -34,7 +35,7 @@
     let outcome = attempt_outcome(&completion);
     state.record_host_outcome(host, outcome, report.role);
     log::debug!("health check of {}: {completion:?}, {report:?}", state.endpoints.borrow().name(host));
-    policy_driver::call(&state, |router, actions| {
+    policy_driver::call(&state, EventLoopStep::HealthChecked, |router, actions| {
         router.health_checked(host, outcome, report, actions);
     });
 }
--- a/crates/comethitchd/src/service/endpoint_watch.rs
+++ b/crates/comethitchd/src/service/endpoint_watch.rs
@@ -9,6 +9,7 @@
 use crate::stages::updates;
 use crate::state::clock::after;
 use crate::state::router_state::RouterState;
+use crate::state::step_times::EventLoopStep;
 use crate::wire::discovery::{self, EndpointList};
 use crate::wire::json_stream::JsonStreamItem;
 use async_io::Timer;
@@ -136,14 +137,15 @@
 /// Applies a list or an update. `version_before` is the version held as it was requested: one that is older than what
 /// another response has brought since then is out of date.
 fn apply(state: &Rc<RouterState>, text: &[u8], version_before: Option<u64>) -> Result<(), DiscoveryError> {
-    let list = discovery::parse_endpoint_list(text, &state.config.zones)?;
+    let parse = || discovery::parse_endpoint_list(text, &state.config.zones);
+    let list = state.steps.measure(EventLoopStep::ParseList, parse)?;
     let version = state.endpoints.borrow().version;
     let may_be_outdated = version != version_before || !list.complete;
     if may_be_outdated && version.is_some_and(|version| list.seq < version) {
         log::debug!("list {} is older than the one held, {version:?}", list.seq);
         return Ok(());
     }
-    log_list(&list);
+    state.steps.measure(EventLoopStep::ApplyList, || log_list(&list));
     updates::apply_endpoint_list(state, &list);
     state.ready.set();
     Ok(())
--- a/crates/comethitchd/src/service/listen.rs
+++ b/crates/comethitchd/src/service/listen.rs
@@ -12,6 +12,7 @@
 use crate::state::protocol::ClientProtocol;
 use crate::state::router_state::RouterState;
 use crate::state::signals::OneShotEvent;
+use crate::state::step_times::EventLoopStep;
 use async_io::{Async, Timer};
 use futures_lite::{FutureExt, StreamExt};
 use std::future::{Future, poll_fn};
@@ -142,7 +143,7 @@
 async fn reject_remaining_commands(state: &Rc<RouterState>) {
     let limit = state.longest_timeout.to_std() + SHUTDOWN_GRACE - ACCEPT_AFTER_STOP;
     Timer::after(limit.saturating_sub(LAST_WRITES)).await;
-    policy_driver::call(state, |router, actions| router.shut_down(actions));
+    policy_driver::call(state, EventLoopStep::ShutDown, |router, actions| router.shut_down(actions));
     Timer::after(LAST_WRITES).await;
 }
 
@@ -195,14 +196,18 @@
     }
 }
 
+fn sweep_once(state: &RouterState) {
+    let now = state.clock.now();
+    state.pool.borrow_mut().close_expired(now);
+    state.clients.close_expired(now);
+    state.transitions.log_changes(&state.router.borrow());
+}
+
 /// Closes connections that have been idle too long, logs what changed and, at longer intervals, the counts.
 async fn sweep(state: Rc<RouterState>) {
     for round in 1.. {
         Timer::after(SWEEP_INTERVAL).await;
-        let now = state.clock.now();
-        state.pool.borrow_mut().close_expired(now);
-        state.clients.close_expired(now);
-        state.transitions.log_changes(&state.router.borrow());
+        state.steps.measure(EventLoopStep::Sweep, || sweep_once(&state));
         if round % SWEEPS_PER_REPORT == 0 {
             log_metrics(&state);
         }
--- a/crates/comethitchd/src/stages/policy_driver.rs
+++ b/crates/comethitchd/src/stages/policy_driver.rs
@@ -7,6 +7,7 @@
 use crate::state::protocol::AttemptResult;
 use crate::state::router_state::RouterState;
 use crate::state::socket::Socket;
+use crate::state::step_times::EventLoopStep;
 use async_channel::Receiver;
 use async_io::Timer;
 use comethitch_policy::time::Duration;
@@ -21,9 +22,9 @@
 const READ_AFTER_STALL: std::time::Duration = std::time::Duration::from_millis(2);
 
 /// Calls into the policy, then carries out what it decided.
-pub fn call(state: &Rc<RouterState>, call: impl FnOnce(&mut Router, &mut ActionQueue)) {
+pub fn call(state: &Rc<RouterState>, step: EventLoopStep, call: impl FnOnce(&mut Router, &mut ActionQueue)) {
     let mut queue = ActionQueue::at(state.now());
-    call(&mut state.router.borrow_mut(), &mut queue);
+    state.steps.measure(step, || call(&mut state.router.borrow_mut(), &mut queue));
     carry_out(state, queue);
 }
 
@@ -92,7 +93,7 @@
         if woken_state.stalls.has_just_stalled(woken_state.clock.now()) {
             Timer::after(READ_AFTER_STALL).await;
         }
-        call(&woken_state, |router, actions| router.tick(actions));
+        call(&woken_state, EventLoopStep::Tick, |router, actions| router.tick(actions));
     };
     state.tasks.spawn(tick).detach();
 }
@@ -120,7 +121,7 @@
 }
 
 fn report_attempt_end(state: &Rc<RouterState>, id: CommandId, end: AttemptEnd) {
-    call(state, |router, actions| {
+    call(state, EventLoopStep::AttemptEnded, |router, actions| {
         if let Some(handle) = router.handle(id) {
             handle.attempt_ended(router, end, actions);
         }
@@ -137,7 +138,7 @@
         admitted;
     let statement = Statement { text, message_kind, client_id, timeout_range, shape };
     let (id, reply) = state.commands.borrow_mut().register(statement, client);
-    call(state, |router, actions| {
+    call(state, EventLoopStep::Submit, |router, actions| {
         let now = actions.now();
         let timeout = deadline - now;
         router.submit(CommandRequest { id, group, shard, session, after, timeout }, actions);
@@ -152,7 +153,7 @@
         log::debug!(id = statement.client_id; "client disconnected or cancelled");
     }
     state.commands.borrow_mut().abandon(id);
-    call(state, |router, actions| {
+    call(state, EventLoopStep::ClientDisconnected, |router, actions| {
         if let Some(handle) = router.handle(id) {
             handle.client_disconnected(router, actions);
         }
--- a/crates/comethitchd/src/stages/updates.rs
+++ b/crates/comethitchd/src/stages/updates.rs
@@ -3,6 +3,7 @@
 use crate::stages::policy_driver;
 use crate::state::config::{Config, ConfigError};
 use crate::state::router_state::RouterState;
+use crate::state::step_times::EventLoopStep;
 use crate::wire::discovery::EndpointList;
 use comethitch_policy::EndpointUpdate;
 use comethitch_statement::{Rules, StatementAdmission};
@@ -24,11 +25,15 @@
 
 /// Applies an endpoint list or an update of it: to the directory, the idle connections and the policy.
 pub fn apply_endpoint_list(state: &Rc<RouterState>, list: &EndpointList) {
-    let removed_or_moved = state.endpoints.borrow_mut().apply(list);
-    removed_or_moved.iter().for_each(|host| state.pool.borrow_mut().close_host(*host));
+    state.steps.measure(EventLoopStep::ApplyList, || {
+        let removed_or_moved = state.endpoints.borrow_mut().apply(list);
+        removed_or_moved.iter().for_each(|host| state.pool.borrow_mut().close_host(*host));
+    });
     let endpoints = list.entries.iter().map(|entry| entry.endpoint).collect();
     let update = EndpointUpdate { complete: list.complete, endpoints };
-    policy_driver::call(state, |router, actions| router.update_endpoints(&update, actions));
+    policy_driver::call(state, EventLoopStep::UpdateEndpoints, |router, actions| {
+        router.update_endpoints(&update, actions);
+    });
 }
 
 /// Applies what a reloaded configuration changes.
--- a/crates/comethitchd/src/state/metrics_report.rs
+++ b/crates/comethitchd/src/state/metrics_report.rs
@@ -1,4 +1,5 @@
-//! The periodic log lines of a router: its counts, what was done with statements, and the faults by host.
+//! The periodic log lines of a router: its counts, the time its event loop took, what was done with statements, and the
+//! faults by host.
 
 use crate::state::log_fields::{LogFields, log_with_fields, take_dropped_lines};
 use crate::state::router_state::RouterState;
@@ -8,6 +9,7 @@
 /// Logs what was counted since the last time; no line for what did not happen.
 pub fn log_metrics(state: &RouterState) {
     log_counts(state);
+    log_steps(state);
     log_statements(state);
     log_host_faults(state);
 }
@@ -31,6 +33,20 @@
     log_with_fields(Level::Info, module_path!(), "counts", &LogFields(counts));
 }
 
+/// Logs how often each step of the event loop was taken, and how long all and the longest of them took, in microseconds.
+fn log_steps(state: &RouterState) {
+    let mut fields = Vec::new();
+    for (step, time) in state.steps.take() {
+        let name = step.name();
+        fields.push((format!("{name}_count"), time.count));
+        fields.push((format!("{name}_us"), time.total.as_micros() as u64));
+        fields.push((format!("{name}_longest_us"), time.longest.as_micros() as u64));
+    }
+    if !fields.is_empty() {
+        log_with_fields(Level::Info, module_path!(), "event loop steps", &LogFields(fields));
+    }
+}
+
 fn log_statements(state: &RouterState) {
     if let Some(admission) = &mut *state.admission.borrow_mut() {
         let counts = statement_counts(admission);
--- a/crates/comethitchd/src/state/mod.rs
+++ b/crates/comethitchd/src/state/mod.rs
@@ -23,4 +23,5 @@
 pub mod signals;
 pub mod socket;
 pub mod stall_detector;
+pub mod step_times;
 pub mod transition_log;
--- a/crates/comethitchd/src/state/router_state.rs
+++ b/crates/comethitchd/src/state/router_state.rs
@@ -16,6 +16,7 @@
 use crate::state::protocol::BackendProtocol;
 use crate::state::signals::OneShotEvent;
 use crate::state::stall_detector::StallDetector;
+use crate::state::step_times::StepTimes;
 use crate::state::transition_log::TransitionLog;
 use async_executor::LocalExecutor;
 use comethitch_policy::time::{Duration, Timestamp};
@@ -78,6 +79,8 @@
     pub transitions: TransitionLog,
     /// Detects stalls of the event loop.
     pub stalls: StallDetector,
+    /// How long the event loop's steps take.
+    pub steps: StepTimes,
     /// The longest timeout of any command group.
     pub longest_timeout: Duration,
 }
@@ -111,6 +114,7 @@
             metrics: Metrics::default(),
             transitions: TransitionLog::default(),
             stalls: StallDetector::new(clock.now()),
+            steps: StepTimes::default(),
             longest_timeout: timeouts.max().unwrap_or_default(),
             config,
         }))
