--- a/crates/comethitch-policy/src/outcome.rs
+++ b/crates/comethitch-policy/src/outcome.rs
@@ -1,7 +1,7 @@
 //! How attempts end, and why commands are rejected.
 
 /// How an attempt, or a health check, ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum AttemptOutcome {
     /// The host answered the command.
     Answered,
--- a/crates/comethitch-policy/src/policy/admission.rs
+++ b/crates/comethitch-policy/src/policy/admission.rs
@@ -17,7 +17,7 @@
             Selection::Host(index) if first || self.retry_budget >= 1.0 => self.send(id, index, out),
             Selection::Rejected => self.reject(id, RejectionReason::NoPrimary, out),
             // Too short a time to wait in a queue: the next review could come after its client timeout.
-            _ if deadline <= out.now() + self.tick_interval * 2 => {
+            _ if deadline <= out.now() + self.tick_interval + self.answer_margin() => {
                 self.reject(id, RejectionReason::DeadlineTooClose, out)
             }
             _ => self.enqueue(id, if first { WaitingFor::FirstAttempt } else { WaitingFor::Retry }),
@@ -141,7 +141,7 @@
     }
 
     fn reason_to_reject(&self, command: &Command, now: Timestamp) -> Option<RejectionReason> {
-        if now + self.tick_interval >= command.deadline {
+        if now + self.answer_margin() >= command.deadline {
             return Some(RejectionReason::DeadlineExceeded);
         }
         if command.in_flight().next().is_none() {
--- a/crates/comethitch-policy/src/policy/health.rs
+++ b/crates/comethitch-policy/src/policy/health.rs
@@ -22,6 +22,11 @@
 const POSITION_PATIENCE_DIVISOR: u64 = 8;
 /// How long a host may go without a health check that no command has paid for.
 const UNPAID_INTERVAL: Duration = Duration::from_secs(10);
+/// The time between two health checks that no command has paid for, of all hosts: a router's own cost for them must not
+/// grow with the hosts.
+const UNPAID_CHECK_SPACING: Duration = Duration::from_millis(40);
+/// So many health checks that are due by time are sent from one tick to the next; the others wait for the next.
+pub(super) const MAX_TIMED_CHECKS_PER_TICK: usize = 16;
 /// Attempts in a row, cancelled late or timed out without any answer since, that make a host unresponsive.
 const UNRESPONSIVE_AFTER: u32 = 2;
 /// How often an unresponsive host is tried with a command.
@@ -83,7 +88,15 @@
             return;
         }
         let now = out.now();
-        for shard in self.groups_to_review(now) {
+        let mut due = self.groups_to_review(now);
+        // The round goes on where it ended: the first groups must not use up what there is for all.
+        let looked_at = due.partition_point(|shard| Some(*shard) <= self.last_checked_group);
+        due.rotate_left(looked_at);
+        for shard in due {
+            if self.timed_checks_left == 0 {
+                return;
+            }
+            self.last_checked_group = Some(shard);
             self.run_due_health_checks_of(shard, out);
             let next_check_review = self.next_check_review(shard, now);
             let group = self.host_groups.get_mut(&shard).expect("a group that was just reviewed");
@@ -103,6 +116,9 @@
     fn next_check_review(&self, shard: Shard, now: Timestamp) -> Timestamp {
         let group = &self.host_groups[&shard];
         let is_idle = self.refresh_on_demand && !self.is_in_use(group, now);
+        if self.timed_checks_left == 0 {
+            return now;
+        }
         let latest = now + if is_idle { HEALTH_CHECK_INTERVAL } else { REVIEW_INTERVAL };
         let members = self.members_to_check(group, now).iter();
         let next = members.map(|member| self.hosts[*member].next_health_check).filter(|at| *at > now).min();
@@ -132,6 +148,9 @@
         let now = out.now();
         let calm_interval = self.tightest_bound.clamp(HEALTH_CHECK_INTERVAL / 5, HEALTH_CHECK_INTERVAL);
         for index in self.due_health_checks(shard, now) {
+            if self.timed_checks_left == 0 {
+                return;
+            }
             let urgent = self.is_check_urgent(index);
             let interval = if urgent { HEALTH_CHECK_RETRY } else { calm_interval };
             let host = &mut self.hosts[index];
@@ -140,6 +159,7 @@
             if !urgent && reported {
                 host.next_health_check = now + interval;
             } else if self.pay_for_health_check(index, now) {
+                self.timed_checks_left -= 1;
                 self.hosts[index].next_health_check = now + interval;
                 self.send_health_check(index, out);
             }
@@ -195,13 +215,18 @@
 
     /// Takes the price from the group's budget. What nothing has paid for is free after a long while.
     fn pay_for_health_check(&mut self, index: HostIndex, now: Timestamp) -> bool {
-        let free = now >= self.hosts[index].next_health_check + UNPAID_INTERVAL;
         let group = self.group_of_mut(index);
-        let affordable = free || group.health_check_budget >= 1.0;
-        if affordable {
-            group.health_check_budget = (group.health_check_budget - 1.0).max(0.0);
+        if group.health_check_budget >= 1.0 {
+            group.health_check_budget -= 1.0;
+            return true;
+        }
+        let long_unchecked = now >= self.hosts[index].next_health_check + UNPAID_INTERVAL;
+        let is_free = long_unchecked && now >= self.next_unpaid_check;
+        if is_free {
+            self.group_of_mut(index).health_check_budget = 0.0;
+            self.next_unpaid_check = now + UNPAID_CHECK_SPACING;
         }
-        affordable
+        is_free
     }
 
     /// Asks the subset's members for positions that would soon be too old for this command.
--- a/crates/comethitch-policy/src/policy/mod.rs
+++ b/crates/comethitch-policy/src/policy/mod.rs
@@ -6,7 +6,7 @@
 //! `admission` queues and rejects commands, `selection` chooses a host, `retries` says what may be sent
 //! again, `attempts` sends and takes in ends, `send_guard` checks what is about to leave, `load` limits the work at each host, `health` checks hosts and
 //! ejects outliers, `group` follows failovers, `endpoints` applies the endpoint list, `host_clock` tells
-//! what time it is at the hosts. The mechanism is described in `docs/design.md`; "Beyond the design" marks departures from it.
+//! what time it is at the hosts, `lateness` how late the router itself is. The mechanism is described in `docs/design.md`; "Beyond the design" marks departures from it.
 
 mod admission;
 mod attempts;
@@ -14,6 +14,7 @@
 mod group;
 mod health;
 mod host_clock;
+mod lateness;
 mod load;
 mod retries;
 mod selection;
@@ -21,6 +22,7 @@
 
 pub use host_clock::ClockState;
 pub(crate) use host_clock::HostClock;
+pub(crate) use lateness::Lateness;
 pub(crate) use load::PeerLoad;
 
 use crate::command::{Attempt, Command};
@@ -51,6 +53,7 @@
         let deployment = &router.deployment;
         router.tick_interval = deployment.tick.max(router.shortest_objective / 16);
         router.retry_budget = retries::MAX_RETRY_BUDGET;
+        router.timed_checks_left = health::MAX_TIMED_CHECKS_PER_TICK;
         router.service_times = deployment.groups.iter().map(service_times).collect();
         router.report_age = Histogram::new(deployment.tick, 256);
         router.refresh_on_demand =
@@ -80,6 +83,8 @@
     /// Reviews everything that depends on the time; to be called as [`Actions::wake_after`] asked.
     pub fn tick(&mut self, out: &mut dyn Actions) {
         out.wake_after(self.tick_interval);
+        self.lateness.record_tick(out.now(), self.tick_interval);
+        self.timed_checks_left = health::MAX_TIMED_CHECKS_PER_TICK;
         for shard in self.groups_to_review(out.now()) {
             self.check_primary(shard, out);
         }
--- a/crates/comethitch-policy/src/router.rs
+++ b/crates/comethitch-policy/src/router.rs
@@ -6,7 +6,7 @@
 use crate::histogram::Histogram;
 use crate::host_group::{GroupState, HostGroup};
 use crate::host_table::{HostIndex, HostTable};
-use crate::policy::{HostClock, PeerLoad};
+use crate::policy::{HostClock, Lateness, PeerLoad};
 use crate::time::{Duration, Timestamp};
 use crate::waiting_commands::WaitingCommands;
 use crate::{Actions, CommandId, Deployment, Shard};
@@ -24,6 +24,8 @@
     pub(crate) hash_seed: u64,
     /// How often [`Router::tick`] asks to be called.
     pub(crate) tick_interval: Duration,
+    /// How late this router's own calls come.
+    pub(crate) lateness: Lateness,
     pub(crate) host_groups: BTreeMap<Shard, HostGroup>,
     pub(crate) hosts: HostTable,
     pub(crate) commands: BTreeMap<CommandId, Command>,
@@ -37,6 +39,12 @@
     pub(crate) peer_load: Cell<PeerLoad>,
     /// How many retries the commands so far have paid for.
     pub(crate) retry_budget: f64,
+    /// How many health checks that are due by time may still be sent before the next tick.
+    pub(crate) timed_checks_left: usize,
+    /// The group whose health checks were looked at last.
+    pub(crate) last_checked_group: Option<Shard>,
+    /// When a health check that no command has paid for may be sent again.
+    pub(crate) next_unpaid_check: Timestamp,
     /// Commands submitted lately, for any group of hosts.
     pub(crate) recent_commands: DecayingCounter,
     /// The share of errors among the last answers, of all hosts together.
@@ -104,6 +112,7 @@
             random: RandomGenerator::new(seed),
             hash_seed: seed,
             tick_interval: deployment.tick,
+            lateness: Lateness::default(),
             host_groups: BTreeMap::new(),
             hosts: HostTable::default(),
             commands: BTreeMap::new(),
@@ -112,6 +121,9 @@
             removed_hosts: BTreeSet::new(),
             peer_load: Cell::default(),
             retry_budget: 0.0,
+            timed_checks_left: 0,
+            last_checked_group: None,
+            next_unpaid_check: Timestamp::ZERO,
             recent_commands: DecayingCounter::default(),
             error_rate: 0.0,
             service_times: Vec::new(),
--- a/crates/comethitch-policy/tests/scenarios.rs
+++ b/crates/comethitch-policy/tests/scenarios.rs
@@ -7,6 +7,7 @@
 //! hosts 600s ahead|behind      the hosts' clock differs by so much from the router's, from now on
 //! at 40ms                      the time from the start; ticks that were due before are made
 //! checked a,b ok primary -20ms the end of a health check of each, and its report (q9: nine commands wait there)
+//! late 200ms                   ticks come so late from now on, as in a busy event loop
 //! submit 1 bounded for 600ms   a command of a group, with its client timeout (`after 30ms`: since its write)
 //! ended 1.0 reset [finished] [role [position]]   the end of an attempt
 //! entries 4                    no more host entries than this are allocated; b17 is a host like b, for many
@@ -85,6 +86,8 @@
     now: Timestamp,
     actions: Vec<String>,
     ticks: Vec<Timestamp>,
+    /// By how much ticks come late.
+    lateness: Duration,
     digest: u64,
 }
 
@@ -136,7 +139,7 @@
 
     fn wake_after(&mut self, delay: Duration) {
         self.digest([82, delay.as_micros(), 0, 0]);
-        self.ticks.push(self.now + delay);
+        self.ticks.push(self.now + delay + self.lateness);
     }
 
     fn watch_endpoints(&mut self) {
@@ -286,6 +289,7 @@
             ["list", ..] => self.list(line.trim_start_matches("list")),
             ["pair"] => self.pair()?,
             ["hosts", span, direction] => self.hosts = HostTime::read(span, direction),
+            ["late", span] => self.out.lateness = duration(span),
             ["at", time] => self.advance(START + duration(time)),
             ["checked", hosts, end, report @ ..] => self.check_health(hosts, outcome(end), report),
             ["submit", id, group, "for", timeout, rest @ ..] => self.submit(id, group, timeout, rest),
--- a/crates/comethitchd/src/state/metrics.rs
+++ b/crates/comethitchd/src/state/metrics.rs
@@ -2,6 +2,7 @@
 
 use comethitch_policy::{AttemptOutcome, Host};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 
 /// A count since it was last taken.
 #[derive(Default)]
@@ -19,8 +20,8 @@
     }
 }
 
-/// One count for each kind that occurred, in the order of their first occurrence.
-pub struct CounterByKind<K>(RefCell<Vec<(K, u64)>>);
+/// One count for each kind that occurred, by kind.
+pub struct CounterByKind<K>(RefCell<BTreeMap<K, u64>>);
 
 impl<K> Default for CounterByKind<K> {
     fn default() -> CounterByKind<K> {
@@ -28,19 +29,15 @@
     }
 }
 
-impl<K: PartialEq> CounterByKind<K> {
+impl<K: Ord> CounterByKind<K> {
     /// Counts one more of a kind.
     pub fn increment(&self, kind: K) {
-        let mut counts = self.0.borrow_mut();
-        match counts.iter_mut().find(|(known, _)| *known == kind) {
-            Some((_, count)) => *count += 1,
-            None => counts.push((kind, 1)),
-        }
+        *self.0.borrow_mut().entry(kind).or_default() += 1;
     }
 
     /// The counts, which start from zero again.
     pub fn take(&self) -> Vec<(K, u64)> {
-        self.0.take()
+        self.0.take().into_iter().collect()
     }
 }
 
--- a/crates/comethitchd/src/state/metrics_report.rs
+++ b/crates/comethitchd/src/state/metrics_report.rs
@@ -6,6 +6,9 @@
 use comethitch_statement::StatementAdmission;
 use log::Level;
 
+/// Faults of hosts that get a line each; of the others only their number is logged.
+const MAX_HOST_FAULTS_LOGGED: usize = 32;
+
 /// Logs what was counted since the last time; no line for what did not happen.
 pub fn log_metrics(state: &RouterState) {
     log_counts(state);
@@ -85,8 +88,16 @@
     counts
 }
 
+/// Logs the most frequent faults by host, and how many others there were.
 fn log_host_faults(state: &RouterState) {
-    for ((host, outcome), number) in state.metrics.host_faults.take() {
+    let mut faults = state.metrics.host_faults.take();
+    faults.sort_unstable_by_key(|(_, number)| std::cmp::Reverse(*number));
+    let others = faults.split_off(faults.len().min(MAX_HOST_FAULTS_LOGGED));
+    for ((host, outcome), number) in faults {
         log::warn!(number; "{}: {outcome:?} {number} times", state.endpoints.borrow().name(host));
     }
+    if !others.is_empty() {
+        let number: u64 = others.iter().map(|(_, number)| number).sum();
+        log::warn!(number; "other hosts: {number} faults of {} kinds", others.len());
+    }
 }
--- a/crates/comethitchd/src/state/stall_detector.rs
+++ b/crates/comethitchd/src/state/stall_detector.rs
@@ -17,12 +17,19 @@
     last_reading: Cell<Timestamp>,
     last_stall: Cell<Stall>,
     tick: Cell<Duration>,
+    /// How late the last tick came: as long as all that is due waits in the event loop.
+    tick_lateness: Cell<Duration>,
 }
 
 impl StallDetector {
     /// A detector that has seen no stall.
     pub fn new(now: Timestamp) -> StallDetector {
-        StallDetector { last_reading: Cell::new(now), last_stall: Cell::default(), tick: Cell::default() }
+        StallDetector {
+            last_reading: Cell::new(now),
+            last_stall: Cell::default(),
+            tick: Cell::default(),
+            tick_lateness: Cell::default(),
+        }
     }
 
     /// Sets the span after which the policy last asked to be woken.
@@ -30,6 +37,11 @@
         self.tick.set(tick);
     }
 
+    /// Records that a tick that was due then comes now.
+    pub fn record_tick(&self, due: Timestamp, now: Timestamp) {
+        self.tick_lateness.set(now - due);
+    }
+
     /// Whether the event loop has not run for more than two ticks up to now. Takes no note of the reading.
     pub fn has_just_stalled(&self, now: Timestamp) -> bool {
         now - self.last_reading.get() > self.tick.get() * 2
@@ -46,9 +58,10 @@
     }
 
     /// The earliest time at which bytes that are read `now` may have arrived: the beginning of a stall that ended
-    /// within `recent`.
+    /// within `recent`, or else as long ago as the last tick waited for its turn.
     pub fn earliest_arrival(&self, now: Timestamp, recent: Duration) -> Timestamp {
         let Stall { from, until } = self.last_stall.get();
-        if now - until < recent { from } else { now }
+        let waited = now - self.tick_lateness.get();
+        if now - until < recent { from.min(waited) } else { waited }
     }
 }
--- a/crates/comethitchd/src/wire/discovery.rs
+++ b/crates/comethitchd/src/wire/discovery.rs
@@ -5,7 +5,9 @@
 use crate::wire::statement::fnv1a;
 use comethitch_policy::time::Timestamp;
 use comethitch_policy::{Endpoint, Host, Lifecycle};
+use serde::Deserialize;
 use serde_json::Value;
+use std::borrow::Cow;
 use std::net::SocketAddr;
 
 /// One object of the list: all of it, or an update of some endpoints.
@@ -76,10 +78,44 @@
 /// # Errors
 /// If the text is no JSON, or a key is missing or wrong.
 pub fn parse_endpoint_list(text: &[u8], zones: &[String]) -> Result<EndpointList, EndpointListError> {
+    if let Ok(RawList { seq, whole, hosts }) = serde_json::from_slice(text)
+        && let Ok(entries) = hosts.into_iter().map(|host| endpoint_entry(host, zones)).collect()
+    {
+        return Ok(EndpointList { seq, complete: whole, entries });
+    }
+    // Read again, more slowly, for keys of other types that may be ignored, and for an error that names the key.
     let value: Value = serde_json::from_slice(text)?;
     endpoint_list_from_json(&value, zones)
 }
 
+/// A list as it is usually sent. Its texts are borrowed: a list may have thousands of entries.
+#[derive(Deserialize)]
+struct RawList<'a> {
+    seq: u64,
+    whole: bool,
+    #[serde(borrow)]
+    hosts: Vec<RawEntry<'a>>,
+}
+
+/// The keys of an entry that are read.
+#[derive(Deserialize)]
+struct RawEntry<'a> {
+    #[serde(borrow)]
+    host: Cow<'a, str>,
+    #[serde(borrow)]
+    dial: Cow<'a, str>,
+    #[serde(borrow)]
+    health: Cow<'a, str>,
+    block: u64,
+    #[serde(borrow, default)]
+    site: Cow<'a, str>,
+    #[serde(borrow, default)]
+    rank: Cow<'a, str>,
+    share: Option<f64>,
+    #[serde(default)]
+    born_ms: u64,
+}
+
 /// Like [`parse_endpoint_list`], for JSON that is parsed already.
 ///
 /// # Errors
@@ -105,31 +141,44 @@
 }
 
 /// The keys of a list beside its entries.
-#[derive(serde::Deserialize)]
+#[derive(Deserialize)]
 struct ListHead {
     seq: u64,
     whole: bool,
 }
 
 fn entry_from_json(value: &Value, zones: &[String]) -> Result<EndpointEntry, EndpointEntryError> {
-    let name = text_of(value, "host")?;
-    let dial = text_of(value, "dial")?;
-    let lifecycle = lifecycle_from(text_of(value, "health")?)?;
-    let dial = dial.parse().map_err(|_| EndpointEntryError::InvalidAddress(dial.into()))?;
-    let shard = value["block"].as_u64().and_then(|block| u16::try_from(block).ok());
-    let started = value["born_ms"].as_u64().filter(|ms| *ms > 0);
+    let optional_text = |key: &str| Cow::from(value[key].as_str().unwrap_or_default());
+    let raw = RawEntry {
+        host: text_of(value, "host")?.into(),
+        dial: text_of(value, "dial")?.into(),
+        health: text_of(value, "health")?.into(),
+        // Missing or no number: no group has this one.
+        block: value["block"].as_u64().unwrap_or(u64::MAX),
+        site: optional_text("site"),
+        rank: optional_text("rank"),
+        share: value["share"].as_f64(),
+        born_ms: value["born_ms"].as_u64().unwrap_or_default(),
+    };
+    endpoint_entry(raw, zones)
+}
+
+fn endpoint_entry(raw: RawEntry<'_>, zones: &[String]) -> Result<EndpointEntry, EndpointEntryError> {
+    let lifecycle = lifecycle_from(&raw.health)?;
+    let dial = raw.dial.parse().map_err(|_| EndpointEntryError::InvalidAddress(raw.dial.to_string()))?;
+    let shard = u16::try_from(raw.block).map_err(|_| EndpointEntryError::Missing("block"))?;
     Ok(EndpointEntry {
-        name: name.into(),
         dial,
         endpoint: Endpoint {
-            host: host_id(name),
-            zone: zone_index(value["site"].as_str().unwrap_or_default(), zones),
-            shard: shard.ok_or(EndpointEntryError::Missing("block"))?,
+            host: host_id(&raw.host),
+            zone: zone_index(&raw.site, zones),
+            shard,
             lifecycle,
-            is_primary: value["rank"].as_str() == Some("source"),
-            capacity: value["share"].as_f64().unwrap_or(1.0),
-            started: started.map(Timestamp::from_millis),
+            is_primary: raw.rank == "source",
+            capacity: raw.share.unwrap_or(1.0),
+            started: Some(raw.born_ms).filter(|ms| *ms > 0).map(Timestamp::from_millis),
         },
+        name: raw.host.into_owned(),
     })
 }
 
--- a/crates/comethitchd/tests/large_fleet.rs
+++ b/crates/comethitchd/tests/large_fleet.rs
@@ -15,8 +15,8 @@
 
 /// The router has this part of a core: a twentieth, or as much more as a build without optimisation needs.
 const CORE_PARTS: u32 = if cfg!(debug_assertions) { 3 } else { 20 };
-/// A group has one primary, and replicas besides.
-const GROUP_SIZE: usize = 8;
+/// Hosts in all. A group of them has one primary, and replicas besides.
+const HOSTS: usize = 3_200;
 /// How long a host takes for a command.
 const WORK: Duration = Duration::from_millis(30);
 /// Clients, each with one command at a time, and how long each waits between two.
@@ -43,7 +43,7 @@
 struct Fleet {
     primaries: SocketAddr,
     replicas: SocketAddr,
-    groups: usize,
+    group_size: usize,
     endpoints: Mutex<Endpoints>,
 }
 
@@ -52,7 +52,7 @@
 }
 
 impl Fleet {
-    fn start(groups: usize) -> Arc<Fleet> {
+    fn start(group_size: usize) -> Arc<Fleet> {
         let serve = |_: usize, _: &str| {
             sleep(WORK);
             HostAction::Answer(row(b"value"))
@@ -60,29 +60,28 @@
         let fleet = Fleet {
             primaries: host(true, serve).address,
             replicas: host(false, serve).address,
-            groups,
+            group_size,
             endpoints: Mutex::new(Endpoints { hosts: Vec::new(), changes: Vec::new() }),
         };
-        let hosts = (0..groups * GROUP_SIZE).map(|index| fleet.entry(index, 0, "ready")).collect();
+        let hosts = (0..HOSTS).map(|index| fleet.entry(index, 0, "ready")).collect();
         fleet.endpoints.lock().expect("the list").hosts = hosts;
         Arc::new(fleet)
     }
 
     /// The host at a place in the fleet, as it was first or as its `generation`th replacement.
     fn entry(&self, index: usize, generation: u32, health: &str) -> Value {
-        let is_primary = index.is_multiple_of(GROUP_SIZE);
+        let is_primary = index.is_multiple_of(self.group_size);
         let address = if is_primary { self.primaries } else { self.replicas };
         let mut entry = entry(&format!("db-{index}-{generation}"), address, is_primary, health);
-        entry["block"] = (index / GROUP_SIZE).into();
+        entry["block"] = (index / self.group_size).into();
         entry["born_ms"] = if generation == 0 { 0 } else { unix_ms() }.into();
         entry
     }
 
     /// Replaces six in ten of the replicas, a few of all groups at each step.
     fn replace_hosts(&self) {
-        let replaced = (0..self.groups * GROUP_SIZE)
-            .filter(|index| matches!(index % GROUP_SIZE, 1..=4))
-            .collect::<Vec<_>>();
+        let is_replaced = |index: &usize| !index.is_multiple_of(self.group_size) && index % 5 < 3;
+        let replaced: Vec<usize> = (0..HOSTS).filter(is_replaced).collect();
         for step in 0..STEPS {
             let indices = replaced.iter().skip(step).step_by(STEPS);
             let changed =
@@ -186,7 +185,7 @@
         let clients: Vec<_> = (0..CLIENTS)
             .map(|_| {
                 sleep(PAUSE / CLIENTS);
-                threads.spawn(|| run_client(router, fleet.groups, &ids, &done))
+                threads.spawn(|| run_client(router, HOSTS / fleet.group_size, &ids, &done))
             })
             .collect();
         fleet.replace_hosts();
@@ -214,12 +213,11 @@
     all
 }
 
-#[test]
-fn six_in_ten_of_thousands_of_hosts_replaced_loses_no_command() {
-    let fleet = Fleet::start(400);
+/// Plays a fleet of groups of this size, of which no command may be lost and most must be answered.
+fn play_fleet(name: &str, group_size: usize) {
+    let fleet = Fleet::start(group_size);
     let all = fleet_configuration(&fleet);
-    let mut program =
-        Program::start_with_faults("large-fleet", &all, &format!("share={CORE_PARTS},from_ms=2000"));
+    let mut program = Program::start_with_faults(name, &all, &format!("share={CORE_PARTS},from_ms=2000"));
     let broken_rules = program.collect_log("rule broken");
     sleep(Duration::from_secs(2));
     let outcomes = play(program.address, &fleet);
@@ -227,3 +225,13 @@
     assert!(outcomes.lost.is_empty(), "{outcomes:?}");
     assert!(outcomes.answered > outcomes.rejected, "{outcomes:?}");
 }
+
+#[test]
+fn six_in_ten_of_thousands_of_hosts_replaced_loses_no_command() {
+    play_fleet("many-groups", 8);
+}
+
+#[test]
+fn six_in_ten_of_the_hosts_of_large_groups_replaced_loses_no_command() {
+    play_fleet("large-groups", 400);
+}
