Read subsets off a kept order with the weights of replicas usable now

Change: the weight of all that can be used now is added up at each reading, so that shares of routers do not rest on who could be used a tenth of a second ago; hashing and sorting alone are kept.

--- a/crates/comethitch-fleet/src/subset.rs
+++ b/crates/comethitch-fleet/src/subset.rs
@@ -63,18 +63,14 @@
 pub fn select(
     hash_seed: u64, now: Timestamp, drift: Duration, size: usize, candidates: impl Iterator<Item = Candidate>,
 ) -> Vec<Member> {
-    let ranked = rank_all(hash_seed, now, drift, candidates);
-    let total_weight = ranked.iter().map(|candidate| candidate.weight).sum();
-    first_members(&ranked, total_weight, size, |_| true)
+    first_members(&rank_all(hash_seed, now, drift, candidates), size, |_| true)
 }
 
-/// All replicas of a group in the order of their ranks, kept for a while: to rank each time costs as much as the group is
-/// large, and to read a subset off as much as the subset is. Whether a replica can be used is asked at each reading.
+/// All replicas of a group in the order of their ranks, kept for a while: to hash and sort them costs many times what it
+/// takes to read a subset off. Whether a replica can be used is asked at each reading, as that changes at any moment.
 #[derive(Clone, Debug, Default)]
 pub struct Ranking {
     ranked: Vec<Candidate>,
-    /// The weight of those that could be used as they were ranked.
-    total_weight: f64,
     /// Until when it holds.
     valid_until: Timestamp,
 }
@@ -94,11 +90,9 @@
     /// router and host draw anew, once in each `drift`.
     pub fn renew(
         &mut self, hash_seed: u64, now: Timestamp, drift: Duration, lifetime: Duration,
-        replicas: impl Iterator<Item = Candidate>, is_usable: impl Fn(usize) -> bool,
+        replicas: impl Iterator<Item = Candidate>,
     ) {
         self.ranked = rank_all(hash_seed, now, drift, replicas);
-        let usable = self.ranked.iter().filter(|candidate| is_usable(candidate.index));
-        self.total_weight = usable.map(|candidate| candidate.weight).sum();
         self.valid_until = now + lifetime;
     }
 
@@ -111,12 +105,12 @@
     /// let (now, drift) = (Timestamp::from_millis(5), Duration::from_secs(60));
     /// let mut ranking = Ranking::default();
     /// assert!(ranking.is_outdated(now));
-    /// ranking.renew(7, now, drift, Duration::from_millis(100), replicas(), |_| true);
+    /// ranking.renew(7, now, drift, Duration::from_millis(100), replicas());
     /// assert_eq!(ranking.members(3, |_| true), select(7, now, drift, 3, replicas()));
     /// assert!(!ranking.is_outdated(Timestamp::from_millis(104)) && ranking.is_outdated(Timestamp::from_millis(105)));
     /// ```
     pub fn members(&self, size: usize, is_usable: impl Fn(usize) -> bool) -> Vec<Member> {
-        first_members(&self.ranked, self.total_weight, size, is_usable)
+        first_members(&self.ranked, size, is_usable)
     }
 }
 
@@ -129,16 +123,16 @@
     ranked.into_iter().map(|(_, candidate)| candidate).collect()
 }
 
-fn first_members(
-    ranked: &[Candidate], total_weight: f64, size: usize, is_usable: impl Fn(usize) -> bool,
-) -> Vec<Member> {
+fn first_members(ranked: &[Candidate], size: usize, is_usable: impl Fn(usize) -> bool) -> Vec<Member> {
+    let usable: Vec<&Candidate> = ranked.iter().filter(|candidate| is_usable(candidate.index)).collect();
+    let total_weight: f64 = usable.iter().map(|candidate| candidate.weight).sum();
     let even = total_weight / size.max(1) as f64;
     let member = |candidate: &Candidate| Member {
         index: candidate.index,
         weight: candidate.weight.max(even),
         router_share: (candidate.weight / even).min(1.0),
     };
-    ranked.iter().filter(|candidate| is_usable(candidate.index)).take(size).map(member).collect()
+    usable.into_iter().take(size).map(member).collect()
 }
 
 /// The lower, the better. The draw is exponential with the weight as its rate: of any set of candidates the lowest
--- a/crates/comethitch-policy/src/policy/selection.rs
+++ b/crates/comethitch-policy/src/policy/selection.rs
@@ -156,7 +156,7 @@
         if ranking.is_outdated(now) {
             let replicas = group.members.iter().map(|index| self.replica_to_rank(*index, now));
             let drift = self.deployment.slow_start.warmup * 8;
-            ranking.renew(self.hash_seed, now, drift, RANKING_LIFETIME, replicas, is_candidate);
+            ranking.renew(self.hash_seed, now, drift, RANKING_LIFETIME, replicas);
         }
         ranking.members(self.subset_size(group, now), is_candidate)
     }
