Soak: crowds, signals in series, many groups, shares of a core; a kill that comes early

Cause: the soak had one timeout, restarts without other signals and no crowd, and let a router take its whole timeout to end.

Change: trial keys crowd and fault signals; timeouts from 0.5 to 5 s, 40 groups in some seeds, share=4 and share=10; the limit of a restart counts three seconds at most. The lab holds its routers' port, so that no host's listener is given it, and takes 4,000 hosts. Seeds draw other trials than before.

--- a/crates/comethitch-lab/src/fleet/faults.rs
+++ b/crates/comethitch-lab/src/fleet/faults.rs
@@ -25,6 +25,7 @@
             // Refused before the trial began.
             FaultKind::Stop { .. }
             | FaultKind::Restart { .. }
+            | FaultKind::Signals { .. }
             | FaultKind::Reload { .. }
             | FaultKind::Links { .. } => {}
         }
--- a/crates/comethitch-lab/src/fleet/mod.rs
+++ b/crates/comethitch-lab/src/fleet/mod.rs
@@ -80,6 +80,7 @@
             FaultKind::Stop { .. }
                 | FaultKind::Links { .. }
                 | FaultKind::Restart { .. }
+                | FaultKind::Signals { .. }
                 | FaultKind::Reload { .. }
         )
     };
--- a/crates/comethitch-lab/src/live/faults.rs
+++ b/crates/comethitch-lab/src/live/faults.rs
@@ -11,6 +11,11 @@
 
 /// How much longer than the longest timeout a router may take to end: what SIGKILL allows at the least.
 const END_GRACE: Duration = Duration::from_millis(700);
+/// A longer timeout counts as this: SIGKILL comes no later for it.
+const LONGEST_COUNTED_TIMEOUT: Duration = Duration::from_secs(3);
+/// How many signals of a kind come in a series, and how soon after one another while a router ends.
+const SIGNALS_IN_SERIES: u64 = 4;
+const SIGNAL_INTERVAL_WHILE_ENDING: Duration = Duration::from_millis(60);
 /// How often it is looked at whether it has ended.
 const END_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -33,6 +38,7 @@
                 self.stop_routers(part, Duration::from_millis(for_ms)).await;
             }
             FaultKind::Restart { part, over_ms } => self.restart_routers(part, over_ms).await,
+            FaultKind::Signals { part, over_ms } => self.signal_routers(part, Duration::from_millis(over_ms)),
             FaultKind::Reload { part } => self.reload_routers(part),
             FaultKind::Links { routers, hosts, direction, fault, for_ms } => {
                 let affected = AffectedLinks { routers, hosts, direction };
@@ -134,6 +140,12 @@
         }
     }
 
+    fn signal_routers(self: &Rc<LiveFleet>, fraction: f64, duration: Duration) {
+        for router in self.draw_for_fault(self.all_routers(), fraction) {
+            self.spawn(signal_router(self.clone(), router, duration));
+        }
+    }
+
     fn reload_routers(&self, fraction: f64) {
         for router in self.draw_for_fault(self.all_routers(), fraction) {
             if self.processes.borrow().is_undisturbed(router) {
@@ -160,13 +172,40 @@
     direction: Direction,
 }
 
+/// Sends a router SIGHUP again and again, then tells it to end, and sends both signals again while it ends.
+async fn signal_router(fleet: SharedFleet, router: usize, duration: Duration) {
+    for _ in 0..SIGNALS_IN_SERIES {
+        if !fleet.processes.borrow().is_undisturbed(router) {
+            return;
+        }
+        fleet.processes.borrow_mut().reload(router);
+        sleep(duration / SIGNALS_IN_SERIES).await;
+    }
+    if !fleet.processes.borrow().is_undisturbed(router) {
+        return;
+    }
+    let signalled = fleet.clone();
+    fleet.spawn(async move {
+        for _ in 0..SIGNALS_IN_SERIES {
+            sleep(SIGNAL_INTERVAL_WHILE_ENDING).await;
+            if !signalled.processes.borrow().is_ending(router) {
+                return;
+            }
+            signalled.processes.borrow_mut().reload(router);
+            signalled.processes.borrow_mut().terminate(router);
+        }
+    });
+    restart_router(fleet, router).await;
+}
+
 /// Tells a router to end, waits until it has, and starts it again. It must end by itself, with success, within its
 /// clients' longest timeout and a grace; what it has taken and not answered by then is lost.
 async fn restart_router(fleet: SharedFleet, router: usize) {
     fleet.processes.borrow_mut().terminate(router);
     let told = fleet.processes.borrow().current(router);
     let told_at = now();
-    let limit = Duration::from_millis(fleet.trial.timeout_ms) + END_GRACE + SLACK;
+    let timeout = Duration::from_millis(fleet.trial.timeout_ms).min(LONGEST_COUNTED_TIMEOUT);
+    let limit = timeout + END_GRACE + SLACK;
     let status = loop {
         sleep(END_POLL_INTERVAL).await;
         // Killed or stopped meanwhile, it is another fault's.
--- a/crates/comethitch-lab/src/live/mod.rs
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -10,6 +10,7 @@
 //! trial, also on SIGINT or SIGTERM.
 
 mod clients;
+mod crowd;
 mod discovery;
 mod faults;
 mod hosts;
--- a/crates/comethitch-lab/src/live/play.rs
+++ b/crates/comethitch-lab/src/live/play.rs
@@ -4,7 +4,7 @@
 use super::process_table::RouterProcesses;
 use super::processes;
 use super::state::{LiveFleet, SLACK, SharedFleet};
-use super::{clients, discovery, hosts, punctuality, stalled_clients};
+use super::{clients, crowd, discovery, hosts, punctuality, stalled_clients};
 use crate::error::PlayError;
 use crate::hosts::replica_cores;
 use crate::ledger::{Report, Rule};
@@ -77,6 +77,7 @@
         fleet.spawn(punctuality::adapt_slack(fleet.clone()));
     }
     fleet.spawn(stalled_clients::come(fleet.clone(), trial.stalled_clients));
+    fleet.spawn(crowd::come(fleet.clone(), trial.crowd));
     start_clients(&fleet, rates_per_core);
     schedule_faults(&fleet);
     show_progress(trial.seconds, start).await;
--- a/crates/comethitch-lab/src/live/process_table.rs
+++ b/crates/comethitch-lab/src/live/process_table.rs
@@ -69,6 +69,8 @@
     folder_is_kept: bool,
     /// Where clients reach each router, at its own address.
     client_port: u16,
+    /// Holds that port at an address of its own, so that no host's listener is given it.
+    _client_port_holder: TcpListener,
     pub discovery_port: u16,
     /// The library of failing system calls, and its settings, dealt out to the routers in turn.
     system_calls: Option<SystemCallFaults>,
@@ -79,7 +81,8 @@
 impl RouterProcesses {
     /// None is running yet. Files and logs are kept in `logs`, if it is given.
     pub fn new(daemon: &Path, routers: usize, logs: Option<&Path>) -> Result<RouterProcesses, PlayError> {
-        let client_port = free_port().map_err(PlayError::ClientPort)?;
+        let holder = TcpListener::bind("127.0.0.1:0").map_err(PlayError::ClientPort)?;
+        let client_port = holder.local_addr().map_err(PlayError::ClientPort)?.port();
         let folder = match logs {
             Some(logs) => logs.to_path_buf(),
             None => temporary_folder(client_port),
@@ -91,6 +94,7 @@
             folder,
             folder_is_kept: logs.is_some(),
             client_port,
+            _client_port_holder: holder,
             discovery_port: 0,
             system_calls: None,
             system_call_settings: Vec::new(),
@@ -276,11 +280,6 @@
     }
 }
 
-/// A port that is free at this moment.
-fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
-}
-
 fn temporary_folder(client_port: u16) -> PathBuf {
     std::env::temp_dir().join(format!("comethitch-lab-{}-{client_port}", std::process::id()))
 }
--- a/crates/comethitch-lab/src/soak.rs
+++ b/crates/comethitch-lab/src/soak.rs
@@ -13,7 +13,7 @@
 /// Faults begin after this long: routers have found their hosts.
 const FIRST_FAULT_MS: u64 = 800;
 /// The system's calls of a router, one of these; most routers have some trouble of their own.
-const SYSTEM_CALLS: [&str; 13] = [
+const SYSTEM_CALLS: [&str; 15] = [
     "",
     "",
     "interrupt=30",
@@ -27,8 +27,17 @@
     "step_ms=3600000,step_every_ms=1500",
     "hold=150,hold_ms=120,stderr=3",
     "socket=30,connect=30,wait=30",
+    "share=4",
+    "share=10,interrupt=50",
 ];
 
+/// The clients' timeout. SIGKILL comes 0.7 s after it, and after three seconds of a longer one.
+const TIMEOUTS_MS: [u64; 5] = [500, 1_200, 1_200, 3_000, 5_000];
+/// Groups of hosts: mostly few, sometimes so many that each sees little.
+const GROUPS: [u16; 5] = [1, 2, 3, 3, 40];
+/// Idle clients that come to each router at once: in some trials they fill its descriptors.
+const CROWDS: [u16; 4] = [0, 0, 0, 720];
+
 /// The trial of a seed, in which clients send for so many seconds.
 pub fn trial(seed: u64, seconds: u64) -> Trial {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -38,7 +47,7 @@
     Trial {
         seed,
         routers,
-        groups: rng.random_range(1..=3),
+        groups: *GROUPS.choose(&mut rng).unwrap_or(&2),
         replicas: rng.random_range(3..=5),
         seconds,
         cores: vec![2, 2, 3],
@@ -46,6 +55,8 @@
         writes: rng.random_range(0.05..0.3),
         bound_ms: *[1_000, 2_000, 3_000].choose(&mut rng).unwrap_or(&3_000),
         drain_grace_ms: *[1_000, 2_000].choose(&mut rng).unwrap_or(&2_000),
+        timeout_ms: *TIMEOUTS_MS.choose(&mut rng).unwrap_or(&1_200),
+        crowd: *CROWDS.choose(&mut rng).unwrap_or(&0),
         leave: rng.random_range(0.0..0.2),
         stalled_clients: rng.random_range(0..=20),
         sharp: true,
@@ -65,7 +76,7 @@
     let at_ms = rng.random_range(FIRST_FAULT_MS..last_ms);
     let part = rng.random_range(0.2..0.8);
     let for_ms = rng.random_range(300..4_000);
-    let kind = match rng.random_range(0..10) {
+    let kind = match rng.random_range(0..11) {
         0 => FaultKind::Release { part, over_ms: for_ms },
         1 => FaultKind::Herd { part, back_ms: rng.random_range(50..1_000) },
         2 => FaultKind::Slow { part: part / 2.0, factor: rng.random_range(2.0..8.0) },
@@ -74,6 +85,7 @@
         5 => FaultKind::Stop { part: part / 2.0, for_ms: rng.random_range(100..1_500) },
         6 => FaultKind::Restart { part, over_ms: for_ms },
         7 => FaultKind::Reload { part },
+        8 => FaultKind::Signals { part: part / 2.0, over_ms: for_ms / 2 },
         _ => links(rng, part, for_ms),
     };
     Fault { at_ms, kind }
--- a/crates/comethitch-lab/src/trial.rs
+++ b/crates/comethitch-lab/src/trial.rs
@@ -120,6 +120,9 @@
     pub system_calls: Vec<String>,
     /// The part of commands whose client closes its connection before it has the answer. Real processes alone.
     pub leave: f64,
+    /// How many clients connect to each router at once, in the middle of the trial, and rest until it ends them. Real
+    /// processes alone.
+    pub crowd: u16,
     /// How many clients send a part of a request and stay, over the trial. Real processes alone.
     pub stalled_clients: u16,
     /// Whether time limits are as close as the lab itself is punctual, in place of a fixed slack. Real processes alone.
@@ -162,6 +165,7 @@
             namesakes: 0,
             system_calls: Vec::new(),
             leave: 0.0,
+            crowd: 0,
             stalled_clients: 0,
             sharp: false,
             all_cold: false,
@@ -199,7 +203,7 @@
         Ok(trial)
     }
 
-    /// Checks all bounds: a trial of 1,000 routers and 1,000 hosts for ten minutes is the largest.
+    /// Checks all bounds: a trial of 1,000 routers and 4,000 hosts for ten minutes is the largest.
     ///
     /// # Errors
     /// The first key that is out of bounds.
@@ -218,9 +222,9 @@
     fn check_size(&self) -> Result<(), TrialError> {
         let hosts = f64::from(self.groups) * f64::from(self.replicas + 1);
         check_range("routers", self.routers.into(), 1.0, 1000.0)?;
-        check_range("groups", self.groups.into(), 1.0, 100.0)?;
-        check_range("replicas", self.replicas.into(), 1.0, 200.0)?;
-        check_range("groups * (replicas + 1)", hosts, 1.0, 1000.0)?;
+        check_range("groups", self.groups.into(), 1.0, 1000.0)?;
+        check_range("replicas", self.replicas.into(), 1.0, 600.0)?;
+        check_range("groups * (replicas + 1)", hosts, 1.0, 4000.0)?;
         check_range("seconds", self.seconds as f64, 1.0, 600.0)
     }
 
--- a/crates/comethitch-lab/src/trial/faults.rs
+++ b/crates/comethitch-lab/src/trial/faults.rs
@@ -66,6 +66,14 @@
         /// The part of the routers.
         part: f64,
     },
+    /// This part of the routers gets signals in a series: SIGHUP again and again, then SIGTERM and, while it ends, both
+    /// again; each is started again once it has ended. Real processes alone.
+    Signals {
+        /// The part of the routers.
+        part: f64,
+        /// Over how many milliseconds the signals before the end come.
+        over_ms: u64,
+    },
     /// A fault of the links between parts of the routers and of the hosts. Routers cut off in both directions hear of
     /// endpoint updates only afterwards. Real processes alone.
     Links {
@@ -90,6 +98,7 @@
         match self {
             FaultKind::Release { over_ms: ms, .. }
             | FaultKind::Restart { over_ms: ms, .. }
+            | FaultKind::Signals { over_ms: ms, .. }
             | FaultKind::Herd { back_ms: ms, .. }
             | FaultKind::Takeover { after_ms: ms, .. }
             | FaultKind::Stop { for_ms: ms, .. }
@@ -108,6 +117,7 @@
             | FaultKind::Takeover { part, .. }
             | FaultKind::Stop { part, .. }
             | FaultKind::Restart { part, .. }
+            | FaultKind::Signals { part, .. }
             | FaultKind::Reload { part } => check_range(&format!("faults[{index}].part"), part, 0.0, 1.0),
             FaultKind::Links { routers, hosts, fault, .. } => {
                 check_range(&format!("faults[{index}].routers"), routers, 0.0, 1.0)?;
--- a/crates/comethitchd/tests/endings.rs
+++ b/crates/comethitchd/tests/endings.rs
@@ -387,6 +387,25 @@
     program.ends();
 }
 
+/// SIGKILL may come so long after SIGTERM, however long clients may wait.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+
+#[test]
+fn a_router_whose_clients_may_wait_long_answers_all_before_it_can_be_killed() {
+    let primary = host(true, |_, _| HostAction::Silence);
+    let mut all = configuration(&[entry("p", primary.address, true, "ready")], None, 1024);
+    all["settings"]["classes"][2]["deadline_us"] = 10_000_000.into();
+    let program = Program::start("long-deadline", &all);
+    let mut client = Client::connect(program.address);
+    client.0.write_all(&query(&write(1, 10_000))).expect("sent");
+    assert!(matches!(primary.next(), HostEvent::Query(_)));
+    let told = Instant::now();
+    program.signal("TERM");
+    assert_eq!(client.receive(), ClientReply::Error("40003".into()), "it may have run");
+    program.ends();
+    assert!(told.elapsed() < EARLIEST_KILL, "{:?}", told.elapsed());
+}
+
 #[test]
 fn a_command_in_hand_is_not_given_up_for_want_of_room_for_the_next() {
     let (tell, go) = channel::<()>();
