Soak: answers of held-up routers, closed sockets; timed checks and refreshes in modules of their own

Held-up routers are now held to that half second, all others to 50 ms and the lab's lateness as before. The message names router and answer. Left: the time told and what follows a client's end are checked as before.

--- a/crates/comethitch-lab/src/fleet/clients.rs
+++ b/crates/comethitch-lab/src/fleet/clients.rs
@@ -35,7 +35,7 @@
         let number = self.next_number();
         let timeout = Duration::from_millis(self.trial.timeout_ms);
         let deadline = self.now + timeout;
-        self.ledger.command_received(number, command.request, command.write, deadline);
+        self.ledger.command_received(number, router, command.request, command.write, deadline);
         let id = self.routers[router].add_command(CommandInFlight::new(number, command, retries));
         if self.trial.routing == Routing::Perfect {
             self.submit_to_baseline(router, id, command);
--- a/crates/comethitch-lab/src/live/process_table.rs
+++ b/crates/comethitch-lab/src/live/process_table.rs
@@ -3,6 +3,7 @@
 use super::network::{Purpose, address};
 use crate::error::PlayError;
 use crate::system_calls::SystemCallFaults;
+use comethitch_policy::time::Duration;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -15,6 +16,11 @@
 /// The environment variable that names a router's configuration file.
 const CONFIGURATION_VARIABLE: &str = "RELAY_CONFIG";
 
+/// The setting of the library of failing calls that says for how long a write is held up.
+const HELD_UP_SETTING: &str = "hold_ms=";
+/// By the rules an answer that comes up to so long after its time earns nothing, and is not lost.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+
 /// What a router logs when its own checks find a broken rule.
 const OWN_VIOLATION: &str = "rule broken";
 
@@ -112,6 +118,15 @@
         Ok(())
     }
 
+    /// How late a router's answers may come for what its settings of failing calls do to it. Deadlines allow for writes
+    /// that are held up, of which several may come in a row: up to where an answer counts as lost.
+    pub fn lateness_allowed(&self, router: usize) -> Duration {
+        let count = self.system_call_settings.len().max(1);
+        let settings = self.system_call_settings.get(router % count);
+        let is_held_up = settings.is_some_and(|settings| settings.contains(HELD_UP_SETTING));
+        if is_held_up { LOST_AFTER } else { Duration::ZERO }
+    }
+
     /// Where clients reach a router.
     pub fn client_address(&self, router: usize) -> SocketAddr {
         (address(router, Purpose::Clients), self.client_port).into()
--- a/crates/comethitch-lab/src/live/state.rs
+++ b/crates/comethitch-lab/src/live/state.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 /// How much later than the router something may be seen here: many processes share few cores.
 pub(super) const SLACK: Duration = Duration::from_millis(300);
@@ -32,7 +32,8 @@
 /// The fleet; tasks share it through an [`Rc`].
 pub(super) struct LiveFleet {
     pub trial: Trial,
-    executor: Rc<LocalExecutor<'static>>,
+    /// Tasks hold the fleet: if it held the executor, neither would ever be dropped, nor the tasks' sockets closed.
+    executor: Weak<LocalExecutor<'static>>,
     pub start: Cell<Timestamp>,
     pub ledger: RefCell<Ledger>,
     pub hosts: RefCell<Vec<SimulatedHost>>,
@@ -66,7 +67,7 @@
     ) -> SharedFleet {
         Rc::new(LiveFleet {
             trial: trial.clone(),
-            executor,
+            executor: Rc::downgrade(&executor),
             start: Cell::new(now()),
             ledger: RefCell::new(empty_ledger(trial)),
             hosts: RefCell::default(),
@@ -87,7 +88,9 @@
 
     /// Runs a task beside all others.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
-        self.executor.spawn(task).detach();
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(task).detach();
+        }
     }
 
     /// Takes the ledger out at the end of the trial.
--- /dev/null
+++ b/crates/comethitch-policy/src/policy/check_schedule.rs
@@ -0,0 +1,166 @@
+//! Which health checks are due by time, and when it is looked: an amount of work for each tick that does not grow with
+//! the hosts.
+
+use super::health::HEALTH_CHECK_RETRY;
+use super::*;
+
+/// A group of which fewer recent commands are left than this is not checked.
+pub(super) const MIN_RECENT_COMMANDS: f64 = 0.5;
+/// How often a group in use is reviewed for what time alone has changed, at the least.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a host may go without a health check that no command has paid for.
+const UNPAID_INTERVAL: Duration = Duration::from_secs(10);
+/// The time between two health checks that no command has paid for, of all hosts: a router's own cost for them must not
+/// grow with the hosts.
+const UNPAID_CHECK_SPACING: Duration = Duration::from_millis(40);
+/// So many health checks that are due by time are sent from one tick to the next; the others wait for the next.
+pub(super) const MAX_TIMED_CHECKS_PER_TICK: usize = 16;
+
+impl Router {
+    /// Checks each host whose time has come, if there is need and someone has paid for it.
+    pub(super) fn run_due_health_checks(&mut self, out: &mut dyn Actions) {
+        if !self.deployment.may_check_health {
+            return;
+        }
+        let now = out.now();
+        let mut due = self.groups_to_review(now);
+        // The round goes on where it ended: the first groups must not use up what there is for all.
+        let looked_at = due.partition_point(|shard| Some(*shard) <= self.last_checked_group);
+        due.rotate_left(looked_at);
+        for shard in due {
+            if self.timed_checks_left == 0 {
+                return;
+            }
+            self.last_checked_group = Some(shard);
+            self.run_due_health_checks_of(shard, out);
+            let next_check_review = self.next_check_review(shard, now);
+            let group = self.host_groups.get_mut(&shard).expect("a group that was just reviewed");
+            group.next_check_review = next_check_review;
+        }
+    }
+
+    /// The groups of which time alone may have changed something.
+    pub(super) fn groups_to_review(&self, now: Timestamp) -> Vec<Shard> {
+        let due = self.host_groups.iter().filter(|(_, group)| group.next_check_review <= now);
+        due.map(|(shard, _)| *shard).collect()
+    }
+
+    /// When a check of a member may be due next, as far as time alone tells: at the latest after a review interval, as
+    /// commands may need a check, or have paid for it, without any other event. Of a group that is not in use little
+    /// needs to be known, and its next command brings the review forward.
+    fn next_check_review(&self, shard: Shard, now: Timestamp) -> Timestamp {
+        let group = &self.host_groups[&shard];
+        let is_idle = self.refresh_on_demand && !self.is_in_use(group, now);
+        if self.timed_checks_left == 0 {
+            return now;
+        }
+        let latest = now + if is_idle { HEALTH_CHECK_INTERVAL } else { REVIEW_INTERVAL };
+        let members = self.members_to_check(group, now).iter();
+        let next = members.map(|member| self.hosts[*member].next_health_check).filter(|at| *at > now).min();
+        next.map_or(latest, |next| next.min(latest))
+    }
+
+    /// Sees to it that a host's group is reviewed by the time that the host is to be checked.
+    pub(super) fn review_checks_by(&mut self, index: HostIndex) {
+        let at = self.hosts[index].next_health_check;
+        self.set_next_health_check(index, at);
+    }
+
+    /// The members that a health check may be needed for. Where positions are refreshed on demand, these are none of a
+    /// group that is not in use, and only the primary of one that has one and is not in Failover (see
+    /// [`Router::is_check_needed`]).
+    fn members_to_check<'a>(&self, group: &'a HostGroup, now: Timestamp) -> &'a [HostIndex] {
+        match &group.primary {
+            _ if self.refresh_on_demand && !self.is_in_use(group, now) => &[],
+            Some(primary) if self.refresh_on_demand && group.state != GroupState::Failover => {
+                std::slice::from_ref(primary)
+            }
+            _ => &group.members,
+        }
+    }
+
+    fn run_due_health_checks_of(&mut self, shard: Shard, out: &mut dyn Actions) {
+        let now = out.now();
+        let calm_interval = self.tightest_bound.clamp(HEALTH_CHECK_INTERVAL / 5, HEALTH_CHECK_INTERVAL);
+        for index in self.due_health_checks(shard, now) {
+            if self.timed_checks_left == 0 {
+                return;
+            }
+            let urgent = self.is_check_urgent(index);
+            let interval = if urgent { HEALTH_CHECK_RETRY } else { calm_interval };
+            let host = &mut self.hosts[index];
+            // An answer that carried a report is as good as a health check.
+            let reported = now - host.lag_reported_at < interval && now - host.last_sign_of_life < interval;
+            if !urgent && reported {
+                host.next_health_check = now + interval;
+            } else if self.pay_for_health_check(index, now) {
+                self.timed_checks_left -= 1;
+                self.hosts[index].next_health_check = now + interval;
+                self.send_health_check(index, out);
+            }
+        }
+    }
+
+    /// The listed primaries, then the longest due: where few are paid for, each has its turn.
+    fn due_health_checks(&self, shard: Shard, now: Timestamp) -> Vec<HostIndex> {
+        let is_due = |index: &HostIndex| self.is_check_due(*index, now) && self.is_check_needed(*index, now);
+        let members = self.members_to_check(&self.host_groups[&shard], now).iter().copied();
+        let mut due: Vec<HostIndex> = members.filter(is_due).collect();
+        let is_listed = |index: HostIndex| self.group_of(index).listed_primary == Some(index);
+        due.sort_by_key(|index| (!is_listed(*index), self.hosts[*index].next_health_check));
+        due
+    }
+
+    fn is_check_due(&self, index: HostIndex, now: Timestamp) -> bool {
+        let host = &self.hosts[index];
+        let drained = host.draining_since.is_some() && host.concurrency.in_flight == Duration::ZERO;
+        let is_due = host.next_health_check <= now && host.health_check_sent.is_none();
+        is_due && !drained && host.connection_slots.has_free(now)
+    }
+
+    fn is_check_urgent(&self, index: HostIndex) -> bool {
+        let group = self.group_of(index);
+        let is_draining = |primary: HostIndex| self.hosts[primary].draining_since.is_some();
+        let lacks_primary = group.state == GroupState::Failover || group.primary.is_none_or(is_draining);
+        lacks_primary || self.hosts[index].unresponsive || self.is_doubtful_primary(index)
+    }
+
+    /// Whether it is a primary that is Unhealthy or was last seen as a replica: nothing else asks it.
+    fn is_doubtful_primary(&self, index: HostIndex) -> bool {
+        let group = self.group_of(index);
+        let was_replica = self.hosts[index].role == Some(Role::Replica);
+        group.primary == Some(index) && (group.state == GroupState::Unhealthy || was_replica)
+    }
+
+    /// Where positions are refreshed on demand, replicas are asked as commands need it, and a primary proves
+    /// itself by its answers: it is checked if they stay out. Without commands nobody need know.
+    fn is_check_needed(&self, index: HostIndex, now: Timestamp) -> bool {
+        let group = self.group_of(index);
+        let silent = self.hosts[index].silent_for(now) >= HEALTH_CHECK_INTERVAL / 2;
+        let needed = (group.state == GroupState::Failover || group.primary.is_none())
+            || self.is_doubtful_primary(index)
+            || group.primary == Some(index) && silent;
+        !self.refresh_on_demand || needed && self.is_in_use(group, now)
+    }
+
+    /// Whether commands came for a group lately.
+    pub(super) fn is_in_use(&self, group: &HostGroup, now: Timestamp) -> bool {
+        group.recent_commands.value(now, RECENT_COMMANDS_WINDOW) >= MIN_RECENT_COMMANDS
+    }
+
+    /// Takes the price from the group's budget. What nothing has paid for is free after a long while.
+    fn pay_for_health_check(&mut self, index: HostIndex, now: Timestamp) -> bool {
+        let group = self.group_of_mut(index);
+        if group.health_check_budget >= 1.0 {
+            group.health_check_budget -= 1.0;
+            return true;
+        }
+        let long_unchecked = now >= self.hosts[index].next_health_check + UNPAID_INTERVAL;
+        let is_free = long_unchecked && now >= self.next_unpaid_check;
+        if is_free {
+            self.group_of_mut(index).health_check_budget = 0.0;
+            self.next_unpaid_check = now + UNPAID_CHECK_SPACING;
+        }
+        is_free
+    }
+}
--- a/crates/comethitch-policy/src/policy/endpoints.rs
+++ b/crates/comethitch-policy/src/policy/endpoints.rs
@@ -32,7 +32,7 @@
         }
     }
 
-    /// The hosts that an update lists as removed or, if it is complete, does not name.
+    /// The hosts that an update lists as removed or, if it is complete, does not name: then all hosts are walked.
     fn removed_by(&self, update: &EndpointUpdate) -> Vec<HostIndex> {
         let is_removed = |entry: &&Endpoint| entry.lifecycle == Lifecycle::Removed;
         let listed = update.endpoints.iter().filter(is_removed);
--- a/crates/comethitch-policy/src/policy/load.rs
+++ b/crates/comethitch-policy/src/policy/load.rs
@@ -67,7 +67,8 @@
         host.slow_start_usage.admits(cost, budget, &window)
     }
 
-    /// What this router sends in a slow-start window to warm hosts that it can use, for each unit of their capacity.
+    /// What this router sends in a slow-start window to warm hosts that it can use, for each unit of their capacity. Walks
+    /// all hosts, as the mean is over all; hence a few times a window only.
     fn warm_peer_load(&self, now: Timestamp) -> f64 {
         let known = self.peer_load.get();
         if now < known.valid_until {
--- a/crates/comethitch-policy/src/policy/mod.rs
+++ b/crates/comethitch-policy/src/policy/mod.rs
@@ -4,18 +4,20 @@
 //! What happens to a command later is a call on the [`Handle`] that this returns.
 //!
 //! `admission` queues and rejects commands, `selection` chooses a host, `retries` says what may be sent
-//! again, `attempts` sends and takes in ends, `send_guard` checks what is about to leave, `load` limits the work at each host, `health` checks hosts and
-//! ejects outliers, `group` follows failovers, `endpoints` applies the endpoint list, `host_clock` tells
+//! again, `attempts` sends and takes in ends, `send_guard` checks what is about to leave, `load` limits the work at each host,
+//! `check_schedule` says which hosts are checked, `health` takes in the checks and ejects outliers, `position_refresh` asks for positions, `group` follows failovers, `endpoints` applies the endpoint list, `host_clock` tells
 //! what time it is at the hosts, `lateness` how late the router itself is. The mechanism is described in `docs/design.md`; "Beyond the design" marks departures from it.
 
 mod admission;
 mod attempts;
+mod check_schedule;
 mod endpoints;
 mod group;
 mod health;
 mod host_clock;
 mod lateness;
 mod load;
+mod position_refresh;
 mod retries;
 mod selection;
 mod send_guard;
@@ -53,7 +55,7 @@
         let deployment = &router.deployment;
         router.tick_interval = deployment.tick.max(router.shortest_objective / 16);
         router.retry_budget = retries::MAX_RETRY_BUDGET;
-        router.timed_checks_left = health::MAX_TIMED_CHECKS_PER_TICK;
+        router.timed_checks_left = check_schedule::MAX_TIMED_CHECKS_PER_TICK;
         router.service_times = deployment.groups.iter().map(service_times).collect();
         router.report_age = Histogram::new(deployment.tick, 256);
         router.refresh_on_demand =
@@ -84,7 +86,7 @@
     pub fn tick(&mut self, out: &mut dyn Actions) {
         out.wake_after(self.tick_interval);
         self.lateness.record_tick(out.now(), self.tick_interval);
-        self.timed_checks_left = health::MAX_TIMED_CHECKS_PER_TICK;
+        self.timed_checks_left = check_schedule::MAX_TIMED_CHECKS_PER_TICK;
         for shard in self.groups_to_review(out.now()) {
             self.check_primary(shard, out);
         }
--- a/crates/comethitch-policy/src/policy/selection.rs
+++ b/crates/comethitch-policy/src/policy/selection.rs
@@ -3,7 +3,8 @@
 //! Writes and strong reads go to the believed primary. Other reads are drawn at random among the fresh
 //! replicas of the router's subset; if none is fresh, the freshest that checks takes them, else the primary.
 
-use super::health::{HEALTH_CHECK_RETRY, usable_age};
+use super::health::HEALTH_CHECK_RETRY;
+use super::position_refresh::usable_age;
 use super::*;
 use comethitch_fleet::subset::{self, Candidate};
 
--- a/crates/comethitchd/tests/soak.rs
+++ b/crates/comethitchd/tests/soak.rs
@@ -12,8 +12,16 @@
 /// How settings of system calls begin that leave a router a part of a core: too little for a build without optimisation.
 const SHARE: &str = "share=";
 
+/// Descriptors that this process may have more of after the trials: of the async layer, which lives as long as it.
+const DESCRIPTORS_KEPT: usize = 8;
+
+fn open_descriptors() -> usize {
+    std::fs::read_dir("/proc/self/fd").expect("the descriptors").count()
+}
+
 #[test]
 fn seeded_trials_with_overlapping_faults_break_no_rule() {
+    let descriptors_before = open_descriptors();
     for seed in SEEDS {
         let mut trial = soak::trial(seed, SECONDS);
         if cfg!(debug_assertions) {
@@ -28,4 +36,6 @@
         let _ = std::fs::remove_dir_all(&logs);
         assert!(report.in_time > 0.3, "seed {seed}: {report}");
     }
+    // A long soak plays hundreds of trials in one process.
+    assert!(open_descriptors() <= descriptors_before + DESCRIPTORS_KEPT, "the lab leaves descriptors open");
 }
