--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod foreign;
+mod stale;
 
 use common::Record;
 
@@ -14,6 +15,7 @@
         record.line(&format!("case {case}, trouble: {trouble}"));
         let kept = match case.as_str() {
             "foreign" => foreign::run(&record, trouble),
+            "stale" => stale::run(&record, trouble),
             _ => Err(std::io::Error::other("unknown case")),
         };
         if let Ok(kept) = kept {
