--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod foreign;
+mod shutdown;
 mod stale;
 
 use common::Record;
@@ -16,6 +17,7 @@
         let kept = match case.as_str() {
             "foreign" => foreign::run(&record, trouble),
             "stale" => stale::run(&record, trouble),
+            "shutdown" => shutdown::run(&record, trouble),
             _ => Err(std::io::Error::other("unknown case")),
         };
         if let Ok(kept) = kept {
