Review case 1: second copies come 0.2 ms after the answer, over a link with jitter

Cause: with a constant link the host's pause stood for the network's. Change: the pause is shorter, and the time on the link varies within the site's range.

--- a/review/standins/src/foreign.rs
+++ b/review/standins/src/foreign.rs
@@ -14,12 +14,12 @@
 const SETTINGS: &str = include_str!("lector.json");
 /// Work of a request.
 const WORK: Duration = Duration::from_millis(30);
-/// One way between the router and the hosts, the two halls of the deployment: 0.42 to 0.78 ms.
-const ONE_WAY: Duration = Duration::from_micros(700);
+/// One way between the two halls of the deployment, in microseconds.
+const ONE_WAY_US: std::ops::Range<u64> = 420..780;
 /// One answer in this many is followed by its second copy.
 const COPY_EVERY: usize = 10;
 /// Time between an answer and its second copy.
-const COPY_AFTER: Duration = Duration::from_micros(300);
+const COPY_AFTER: Duration = Duration::from_micros(200);
 const CLIENTS: usize = 4;
 const LENGTH: Duration = Duration::from_secs(20);
 
@@ -74,7 +74,7 @@
     }
 }
 
-/// A link to a host on which each byte takes the same time, in both directions.
+/// A link to a host on which each piece takes a time of its own, in both directions; the order is kept.
 fn start_link(host: SocketAddr) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
     let address = listener.local_addr().expect("a bound address");
@@ -95,9 +95,15 @@
 fn delay_bytes(mut from: TcpStream, mut to: TcpStream) {
     let (sender, receiver) = channel::<(Instant, Vec<u8>)>();
     spawn(move || {
+        let mut random = unix_us() | 1;
         let mut buffer = [0; 65_536];
         while let Ok(length) = from.read(&mut buffer) {
-            if length == 0 || sender.send((Instant::now() + ONE_WAY, buffer[..length].to_vec())).is_err() {
+            random ^= random << 13;
+            random ^= random >> 7;
+            random ^= random << 17;
+            let one_way = ONE_WAY_US.start + random % (ONE_WAY_US.end - ONE_WAY_US.start);
+            let due = Instant::now() + Duration::from_micros(one_way);
+            if length == 0 || sender.send((due, buffer[..length].to_vec())).is_err() {
                 return;
             }
         }
