--- a/review/standins/src/stale.rs
+++ b/review/standins/src/stale.rs
@@ -119,7 +119,7 @@
         let mut group = self.group.lock().unwrap();
         if self.name == "a" && self.router == "n1" && group.hang.is_some() {
             group.connections_to_a += 1;
-            if group.connections_to_a.is_multiple_of(3) {
+            if group.connections_to_a % 3 == 1 {
                 self.record.line("a connection of n1 to a comes up late");
                 return LATE_GREETING;
             }
