Barriers around requests tell a late second copy from the answer

Cause: neither protocol numbers its answers. The router took the first answer after a request for its own, and looked only at what had already arrived when it reused a connection. Surplus that was still on its way was taken for the next answer, and shifted all later ones. Health checks, retries and hedged requests share the pool; TDS has the same fault.

Change: on a reused connection, PostgreSQL queries are written between two queries without effect whose answers are known, and a TDS request is followed by SELECT n. What precedes the first barrier's answer is dropped; a second answer before that of the last barrier fails the attempt as one that may have run. A connection is checked once, before its first reuse, for a host that answers barriers. No time is involved, only the order of bytes.

Cost: PostgreSQL 3 messages for each request on a reused connection in one write, no further round trip; TDS 2 messages and one round trip more.

Tests and stand-ins: hosts of the testkit, of the tests and of the lab answer barriers, and no longer take pipelined bytes for a cancellation, which is a close. In the test of the check after the send, a second request verifies the connection first, so that the held-up write is still that of the request; the check and its bound are as before.

--- a/crates/comethitch-testkit/src/connection.rs
+++ b/crates/comethitch-testkit/src/connection.rs
@@ -6,7 +6,7 @@
 use crate::behavior::HostBehavior;
 use crate::engine::{Engine, Response};
 use crate::error::ConnectionError;
-use std::io::{Read, Write};
+use std::io::{self, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -38,6 +38,10 @@
     /// Reads the next request. Returns `None` once the client has ended the session.
     fn read_request(&mut self) -> Result<Option<String>, ConnectionError>;
 
+    /// Encodes the answer to a request without effect, which is answered at once and is neither counted nor
+    /// recorded. Returns `None` for other requests.
+    fn answer_without_effect(&self, text: &str) -> Option<Vec<u8>>;
+
     /// Encodes a load report: the replication position in Unix milliseconds, and whether the host is a
     /// primary.
     fn load_report(&self, position_ms: u64, is_primary: bool) -> Vec<u8>;
@@ -77,7 +81,16 @@
     mut protocol: P, engine: &Engine,
 ) -> Result<(), ConnectionError> {
     let mut transaction_open = false;
+    // Encoded last answer to a request.
+    let mut last_answer = Vec::new();
     while let Some(text) = protocol.read_request()? {
+        if !last_answer.is_empty() && engine.take_second_copy() {
+            send(&mut protocol, &last_answer)?;
+        }
+        if let Some(answer) = protocol.answer_without_effect(&text) {
+            send(&mut protocol, &answer)?;
+            continue;
+        }
         if transaction_open {
             engine.record_interleaved(&text);
         }
@@ -86,6 +99,9 @@
         } else {
             let response = engine.execute(&text);
             transaction_open |= leaves_transaction_open(&response);
+            if let Response::Scripted { behavior: HostBehavior::Answer, key } = &response {
+                last_answer = protocol.answer(key);
+            }
             respond(&mut protocol, response)?
         };
         if next_step == NextStep::Close {
@@ -183,9 +199,9 @@
     Ok(NextStep::ReadRequest)
 }
 
-/// Waits until the peer sends something, such as a cancellation, or closes the connection. Closes the
-/// connection without an answer.
+/// Waits until the peer closes the connection, and reads what it sends until then. Closes the connection
+/// without an answer.
 fn wait_for_peer<P: ServerProtocol>(protocol: &mut P) -> Result<NextStep, ConnectionError> {
-    let _ = protocol.stream().read(&mut [0]);
+    io::copy(protocol.stream(), &mut io::sink())?;
     Ok(NextStep::Close)
 }
--- a/crates/comethitch-testkit/src/engine.rs
+++ b/crates/comethitch-testkit/src/engine.rs
@@ -34,6 +34,8 @@
     replication_lag_ms: AtomicU64,
     /// Whether the host closes new connections, and open ones at their next request.
     down: AtomicBool,
+    /// Whether the next message on any connection is preceded by a second copy of an earlier answer.
+    second_copy_armed: AtomicBool,
     script: Mutex<Script>,
     request_count: AtomicUsize,
     ledger: Ledger,
@@ -49,6 +51,7 @@
             primary: AtomicBool::new(primary),
             replication_lag_ms: AtomicU64::new(0),
             down: AtomicBool::new(false),
+            second_copy_armed: AtomicBool::new(false),
             script: Mutex::new(Box::new(|_, _| HostBehavior::Answer)),
             request_count: AtomicUsize::new(0),
             ledger: ledger.clone(),
@@ -87,6 +90,21 @@
         self.down.store(down, Ordering::SeqCst);
     }
 
+    /// Sets whether the next message on any connection is preceded by a second copy of an earlier answer.
+    pub(crate) fn arm_second_copy(&self, armed: bool) {
+        self.second_copy_armed.store(armed, Ordering::SeqCst);
+    }
+
+    /// Returns whether a second copy is still to be sent.
+    pub(crate) fn second_copy_is_armed(&self) -> bool {
+        self.second_copy_armed.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether a second copy is to be sent, and sends no other one.
+    pub(crate) fn take_second_copy(&self) -> bool {
+        self.second_copy_armed.swap(false, Ordering::SeqCst)
+    }
+
     /// Sets the script, which chooses the behavior for each request given the number of earlier requests and
     /// the text.
     pub(crate) fn set_script(&self, script: impl Fn(usize, &str) -> HostBehavior + Send + Sync + 'static) {
--- a/crates/comethitch-testkit/src/host.rs
+++ b/crates/comethitch-testkit/src/host.rs
@@ -59,6 +59,18 @@
         self.engine.set_primary(primary);
     }
 
+    /// Makes the host send a second copy of the last answer on a connection, once, as soon as the next message
+    /// arrives on a connection that has carried an answer. At that moment the router has already written the
+    /// message.
+    pub fn send_second_copy(&self) {
+        self.engine.arm_second_copy(true);
+    }
+
+    /// Returns whether the second copy that was asked for is still to be sent.
+    pub fn second_copy_is_pending(&self) -> bool {
+        self.engine.second_copy_is_armed()
+    }
+
     /// Sets the replication lag in the host's load reports.
     pub fn set_lag(&self, lag: Duration) {
         self.engine.set_lag(lag);
--- a/crates/comethitch-testkit/src/postgres/mod.rs
+++ b/crates/comethitch-testkit/src/postgres/mod.rs
@@ -55,6 +55,16 @@
     message(message_type::QUERY, format!("{text}\0").as_bytes())
 }
 
+/// Encodes the answer to an empty query, or to one that sets nothing but the name of the application. Returns
+/// `None` for other queries. `ReadyForQuery` must follow.
+pub fn answer_without_effect(text: &str) -> Option<Vec<u8>> {
+    if text.is_empty() {
+        return Some(message(message_type::EMPTY_QUERY_RESPONSE, b""));
+    }
+    let sets_name = text.starts_with("SET application_name ");
+    sets_name.then(|| message(message_type::COMMAND_COMPLETE, b"SET\0"))
+}
+
 fn row_description() -> Vec<u8> {
     let one_column = [0, 1];
     let column_attributes = [0; 18];
--- a/crates/comethitch-testkit/src/postgres/server.rs
+++ b/crates/comethitch-testkit/src/postgres/server.rs
@@ -63,6 +63,10 @@
         Ok(Some(String::from_utf8_lossy(text).into_owned()))
     }
 
+    fn answer_without_effect(&self, text: &str) -> Option<Vec<u8>> {
+        super::answer_without_effect(text).map(then_ready)
+    }
+
     fn load_report(&self, position_ms: u64, is_primary: bool) -> Vec<u8> {
         let primary = u8::from(is_primary);
         let report = format!("x0={}.{:03},x1={primary}", position_ms / 1000, position_ms % 1000);
--- a/crates/comethitch-testkit/src/tds/server.rs
+++ b/crates/comethitch-testkit/src/tds/server.rs
@@ -115,6 +115,11 @@
     }
 }
 
+/// Returns the number that a batch such as `SELECT 7` selects without reading any data.
+fn selected_number(text: &str) -> Option<i64> {
+    text.strip_prefix("SELECT ")?.parse().ok()
+}
+
 fn answer_message(tokens: &[u8]) -> Vec<u8> {
     encode(MessageKind::Response, PACKET_BYTES, tokens)
 }
@@ -147,6 +152,9 @@
         loop {
             let message = read_message(&mut self.stream)?;
             let text = self.decode(message.kind, &message.payload)?;
+            if selected_number(&text).is_some() {
+                return Ok(Some(text));
+            }
             self.reset_acknowledgement.clear();
             if message.status & status::RESET != 0 {
                 put_env_change_bytes(
@@ -165,6 +173,16 @@
         }
     }
 
+    fn answer_without_effect(&self, text: &str) -> Option<Vec<u8>> {
+        let number = selected_number(text)?;
+        let columns = [("", Column::Integer)];
+        let mut tokens = Vec::new();
+        put_columns(&mut tokens, &columns);
+        put_row(&mut tokens, &columns, &[Cell::Integer(number)]);
+        put_done(&mut tokens, code::DONE, done::COUNT, 1);
+        Some(answer_message(&tokens))
+    }
+
     fn load_report(&self, position_ms: u64, is_primary: bool) -> Vec<u8> {
         let columns = [("rol", Column::Text), ("posicion_ms", Column::Integer)];
         let role = if is_primary { "PRIMARY" } else { "SECONDARY" };
--- a/crates/comethitchd/src/protocols/exchange.rs
+++ b/crates/comethitchd/src/protocols/exchange.rs
@@ -1,18 +1,22 @@
 //! One message to a host and its response: takes a connection from the pool or opens one, sends the message,
-//! reads the response within a timeout, and returns the connection to the pool.
+//! reads the response within a timeout, checks that the response belongs to the message, and returns the
+//! connection to the pool.
 //!
-//! The protocols encode the message, and parse the response by implementing [`Response`].
+//! The protocols encode the message by implementing [`HostProtocol`], and parse the response by implementing
+//! [`Response`].
 
 use crate::protocols::attempt::{Attempt, SendRefused};
+use crate::protocols::barrier::{self, HostProtocol, Reuse};
 use crate::protocols::streamed_answer::StreamedAnswer;
 use crate::state::buffer::Buffer;
+use crate::state::clock::after;
 use crate::state::host_connection::{ConnectionError, HostConnection};
 use crate::state::router_state::RouterState;
 use crate::state::socket::WriteError;
 use async_io::Timer;
 use comethitch_policy::Host;
 use comethitch_policy::time::{Duration, Timestamp};
-use futures_lite::FutureExt;
+use futures_lite::{AsyncWriteExt, FutureExt};
 use std::cell::Cell;
 use std::future::Future;
 use std::io::ErrorKind;
@@ -81,33 +85,32 @@
         exchange.or(timeout).await
     }
 
-    /// Sends the message that `encode` returns for a connection, and returns the connection, which is an idle
-    /// one from the pool or, if there is none, a new one that `connect` opens.
+    /// Sends the protocol's message, and returns the connection, which is an idle one from the pool or, if
+    /// there is none, a new one. The next bytes that it receives are those of the response.
     ///
     /// # Errors
-    /// If the message could not be sent, or the send check failed once a connection was available.
-    pub(super) async fn send(
-        &self, connect: impl AsyncFn(SocketAddr) -> Result<HostConnection, ConnectionError>,
-        encode: impl Fn(&HostConnection) -> Vec<u8>,
+    /// If the message could not be sent, the send check failed once a connection was available, or the
+    /// connection broke before the response.
+    pub(super) async fn send<P: HostProtocol>(
+        &self, protocol: &P,
     ) -> Result<HostConnection, ConnectionError> {
         let address = self.state.hosts.directory().address(self.host).ok_or(ConnectionError::NotSent)?;
         loop {
-            let idle = self.state.hosts.take_idle(self.host, address, self.state.clock.now());
+            let idle = self.take_idle(protocol, address).await;
             let is_new = idle.is_none();
-            let connection = match idle {
+            let mut connection = match idle {
                 Some(idle) => idle,
-                None => connect(address).await.inspect_err(|error| self.record_connect_error(error))?,
+                None => {
+                    protocol.connect(address).await.inspect_err(|error| self.record_connect_error(error))?
+                }
             };
             if let Err(refused) = self.check_send() {
                 self.release(connection);
                 return Err(self.record_refused(refused));
             }
-            let encoded_at = self.state.clock.now();
-            let message = encode(&connection);
-            match connection.stream.write_checked(&message, || self.check_write(encoded_at)).await {
+            match self.write(protocol, &mut connection).await {
                 Ok(()) => {
-                    self.sent.set(true);
-                    self.attempt.inspect(|attempt| attempt.verify_sent());
+                    self.skip_surplus(protocol, &mut connection).await?;
                     return Ok(connection);
                 }
                 // The message is incomplete without its last byte, so the host cannot run it.
@@ -119,6 +122,94 @@
         }
     }
 
+    /// Takes an idle connection to the host from the pool, and verifies it before its first reuse. Returns
+    /// `None` if there is none, or if verifying it fails or takes longer than the connect timeout.
+    async fn take_idle<P: HostProtocol>(&self, protocol: &P, address: SocketAddr) -> Option<HostConnection> {
+        let mut connection = self.state.hosts.take_idle(self.host, address, self.state.clock.now())?;
+        if !connection.session.needs_verification() || self.check_send().is_err() {
+            return Some(connection);
+        }
+        let connect_timeout = self.state.config.deployment.connect_timeout.to_std();
+        let timeout = after(connect_timeout, Err(ConnectionError::TimedOut));
+        match barrier::verify(protocol, &mut connection).or(timeout).await {
+            Ok(()) => Some(connection),
+            Err(error) => {
+                self.record_surplus(&error);
+                None
+            }
+        }
+    }
+
+    /// Writes the message, between two barriers if the connection was used before and the protocol allows
+    /// pipelining. The message counts as sent once its own last byte is written.
+    async fn write<P: HostProtocol>(
+        &self, protocol: &P, connection: &mut HostConnection,
+    ) -> Result<(), WriteError<SendRefused>> {
+        let encoded_at = self.state.clock.now();
+        let mut bytes = Vec::new();
+        let has_barriers = has_pipelined_barriers::<P>(connection);
+        if has_barriers {
+            bytes = barrier::encode_next(protocol, connection);
+        }
+        bytes.extend(protocol.encode(connection));
+        let end_of_message = bytes.len();
+        if has_barriers {
+            bytes.extend(barrier::encode_next(protocol, connection));
+        }
+        let check = || self.check_write(encoded_at);
+        let written = connection.stream.write_checked(&bytes, end_of_message, check).await?;
+        self.sent.set(true);
+        self.attempt.inspect(|attempt| attempt.verify_sent());
+        if written < bytes.len() {
+            // If this fails, the trailing barrier is not answered either.
+            let _ = (&connection.stream).write_all(&bytes[written..]).await;
+        }
+        Ok(())
+    }
+
+    async fn skip_surplus<P: HostProtocol>(
+        &self, protocol: &P, connection: &mut HostConnection,
+    ) -> Result<(), ConnectionError> {
+        if !has_pipelined_barriers::<P>(connection) {
+            return Ok(());
+        }
+        let dropped = barrier::skip_surplus(protocol, connection).await;
+        let dropped = dropped.inspect_err(|error| self.record_surplus(error))?;
+        if dropped > 0 {
+            self.record_surplus(&ConnectionError::Ambiguous);
+        }
+        Ok(())
+    }
+
+    /// Checks that the response that was just read is that of the message, and returns whether the connection
+    /// can be reused. `end` is how reading the response ended.
+    ///
+    /// # Errors
+    /// If the response may belong to an earlier message.
+    pub(super) async fn confirm<P: HostProtocol>(
+        &self, protocol: &P, connection: &mut HostConnection, end: &ResponseEnd,
+    ) -> Result<Reuse, ConnectionError> {
+        let was_used = std::mem::replace(&mut connection.session.used, true);
+        match end {
+            Ok(()) if was_used => {
+                let confirmed = barrier::confirm(protocol, connection).await;
+                confirmed.inspect_err(|error| self.record_surplus(error))
+            }
+            Ok(()) => Ok(Reuse::Possible),
+            Err(error) if was_used && !P::PIPELINES => Err(error.clone()),
+            Err(_) => Ok(Reuse::Impossible),
+        }
+    }
+
+    /// Counts and logs that a host sent surplus bytes, or did not answer a barrier.
+    fn record_surplus(&self, error: &ConnectionError) {
+        if *error == ConnectionError::Ambiguous {
+            self.state.metrics.surplus_responses.increment();
+        }
+        let endpoints = self.state.hosts.directory();
+        log::debug!(host = endpoints.name(self.host), error:%; "barrier not answered as expected");
+    }
+
     fn check_send(&self) -> Result<(), SendRefused> {
         self.attempt.map_or(Ok(()), Attempt::check_send)
     }
@@ -154,6 +245,11 @@
     }
 }
 
+/// Returns whether messages on a connection are enclosed by barriers that are written together with them.
+fn has_pipelined_barriers<P: HostProtocol>(connection: &HostConnection) -> bool {
+    P::PIPELINES && connection.session.used
+}
+
 /// How much of a response is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ResponseProgress {
--- a/crates/comethitchd/src/protocols/mod.rs
+++ b/crates/comethitchd/src/protocols/mod.rs
@@ -6,6 +6,7 @@
 //! `exchange` and `streamed_answer` on the backend side.
 
 mod attempt;
+mod barrier;
 mod client_connection;
 mod connect;
 mod exchange;
--- a/crates/comethitchd/src/protocols/postgres/backend.rs
+++ b/crates/comethitchd/src/protocols/postgres/backend.rs
@@ -1,6 +1,7 @@
 //! Sends attempts and health checks to PostgreSQL hosts.
 
 use crate::protocols::attempt;
+use crate::protocols::barrier::{BarrierResponse, HostProtocol, Reuse};
 use crate::protocols::connect::{ConnectionOptions, connect};
 use crate::protocols::exchange::{Exchange, Response, ResponseEnd, ResponseProgress, read_response};
 use crate::protocols::health_check::{self, HealthCheckResult};
@@ -12,7 +13,9 @@
 use crate::state::protocol::AttemptResult;
 use crate::state::router_state::RouterState;
 use crate::wire::host_report;
-use crate::wire::postgres::{self, HostResponse, MAX_MESSAGE_BYTES, ResponseError, ResponseShape};
+use crate::wire::postgres::{
+    self, BarrierQuery, HostResponse, MAX_MESSAGE_BYTES, ResponseError, ResponseShape,
+};
 use comethitch_policy::time::Duration;
 use comethitch_policy::{AttemptOutcome, Host, RequestId};
 use futures_lite::AsyncWriteExt;
@@ -84,24 +87,62 @@
     });
 }
 
+/// One query to a host.
+struct Query<'a, E> {
+    state: &'a RouterState,
+    /// Encodes the query.
+    encode: E,
+}
+
+impl<E: Fn() -> Vec<u8>> HostProtocol for Query<'_, E> {
+    const DISTINCT_BARRIERS: u32 = postgres::DISTINCT_BARRIERS;
+    const PIPELINES: bool = true;
+
+    async fn connect(&self, address: SocketAddr) -> Result<HostConnection, ConnectionError> {
+        connect_to_host(self.state, address).await
+    }
+
+    fn encode(&self, _connection: &HostConnection) -> Vec<u8> {
+        (self.encode)()
+    }
+
+    fn encode_barrier(&self, _connection: &HostConnection, number: u32) -> Vec<u8> {
+        let mut query = Vec::new();
+        postgres::put_query(&mut query, &[BarrierQuery::nth(number).text().as_bytes()]);
+        query
+    }
+
+    async fn read_barrier(
+        &self, connection: &mut HostConnection, number: u32,
+    ) -> Result<BarrierResponse, ConnectionError> {
+        let mut pending = PendingResponse::new(self.state);
+        read_response(connection, &mut pending, None).await??;
+        let barrier = BarrierQuery::nth(number);
+        let response = &pending.response;
+        Ok(match () {
+            () if barrier.is_answered_by(response) => BarrierResponse::Expected,
+            () if barrier.is_answered_at_end_of(response) => BarrierResponse::ExpectedAfterSurplus,
+            () => BarrierResponse::Surplus,
+        })
+    }
+}
+
 /// Sends a query and reads its response, within the exchange's deadline.
 async fn run(exchange: &Exchange<'_>, encode: impl Fn() -> Vec<u8>) -> Result<HostResponse, ConnectionError> {
-    exchange.within_timeout(send_and_read(exchange, encode)).await
+    let query = Query { state: exchange.state, encode };
+    exchange.within_timeout(send_and_read(exchange, &query)).await
 }
 
 async fn send_and_read(
-    exchange: &Exchange<'_>, encode: impl Fn() -> Vec<u8>,
+    exchange: &Exchange<'_>, query: &impl HostProtocol,
 ) -> Result<HostResponse, ConnectionError> {
-    let state = exchange.state;
-    let connect = async |address| connect_to_host(state, address).await;
-    let mut connection = exchange.send(connect, |_| encode()).await?;
-    let has_rules = state.statement_rules.are_present();
-    let shape = if has_rules { ResponseShape::AnyRows } else { ResponseShape::SingleValue };
+    let mut connection = exchange.send(query).await?;
+    let has_rules = exchange.state.statement_rules.are_present();
     let streamed = exchange.streamed_answer().filter(|_| has_rules);
-    let reservation = has_rules.then(|| Reservation::new(&state.memory));
-    let mut pending = PendingResponse { response: HostResponse::new(shape), reservation };
+    let mut pending = PendingResponse::new(exchange.state);
     let end = read_response(&mut connection, &mut pending, streamed).await?;
-    let is_idle = end.is_ok() && !pending.response.in_transaction;
+    let reuse = exchange.confirm(query, &mut connection, &end).await?;
+    let is_idle = reuse == Reuse::Possible && !pending.response.in_transaction;
     let response = finish_response(pending.response, end, streamed).await?;
     if is_idle {
         exchange.release(connection);
@@ -142,6 +183,16 @@
 }
 
 impl PendingResponse {
+    /// Creates an empty response of the shape that the router accepts.
+    fn new(state: &RouterState) -> PendingResponse {
+        if state.statement_rules.are_present() {
+            let reservation = Some(Reservation::new(&state.memory));
+            PendingResponse { response: HostResponse::new(ResponseShape::AnyRows), reservation }
+        } else {
+            PendingResponse { response: HostResponse::new(ResponseShape::SingleValue), reservation: None }
+        }
+    }
+
     fn reserve_memory(&mut self) -> Result<(), ConnectionError> {
         let Some(reservation) = &mut self.reservation else { return Ok(()) };
         if !reservation.resize_to(self.response.rows.len()) {
--- a/crates/comethitchd/src/protocols/tds/backend.rs
+++ b/crates/comethitchd/src/protocols/tds/backend.rs
@@ -6,6 +6,7 @@
 use super::response::{FirstRow, HostResponse};
 use super::settings::TdsSettings;
 use crate::protocols::attempt;
+use crate::protocols::barrier::{BarrierResponse, HostProtocol, Reuse};
 use crate::protocols::connect::{ConnectionOptions, connect};
 use crate::protocols::exchange::{Exchange, ResponseEnd, read_response};
 use crate::protocols::health_check::{self, HealthCheckResult};
@@ -15,7 +16,9 @@
 use crate::state::router_state::RouterState;
 use comethitch_policy::time::{Duration, Timestamp};
 use comethitch_policy::{AttemptOutcome, Host, LoadReport, RequestId, Role};
-use comethitch_tds::packet::{INITIAL_PACKET_BYTES, MAX_PACKET_BYTES, MessageKind, put_packets, status};
+use comethitch_tds::packet::{
+    INITIAL_PACKET_BYTES, MAX_PACKET_BYTES, MessageKind, put_message, put_packets, status,
+};
 use comethitch_tds::request::Batch;
 use comethitch_tds::types::Value;
 use std::net::SocketAddr;
@@ -31,7 +34,7 @@
     /// Encodes the message as packets for a connection.
     fn encode(&self, connection: &HostConnection) -> Vec<u8> {
         // Session state left by another client's request is reset before this one runs.
-        let status = if connection.session.reused { status::RESET } else { 0 };
+        let status = if connection.session.used { status::RESET } else { 0 };
         let mut packets = packet_buffer(self.payload.len());
         put_packets(&mut packets, self.kind, connection.session.packet_size, self.payload, status, true);
         packets
@@ -108,6 +111,52 @@
     }
 }
 
+/// One message to a host, with what a new connection for it requires.
+struct HostRequest<'a> {
+    state: &'a RouterState,
+    settings: &'a TdsSettings,
+    message: &'a HostMessage<'a>,
+}
+
+/// Returns the batch of the barrier with this number, which a host answers with one row that holds the number.
+fn barrier_batch(number: u32) -> String {
+    format!("SELECT {number}")
+}
+
+impl HostProtocol for HostRequest<'_> {
+    // The answers of all barriers of a connection differ, but one shows that the host answers them.
+    const DISTINCT_BARRIERS: u32 = 1;
+    // Without MARS, a client may send a message only after the response to the last one.
+    const PIPELINES: bool = false;
+
+    async fn connect(&self, address: SocketAddr) -> Result<HostConnection, ConnectionError> {
+        connect_to_host(self.state, self.settings, address).await
+    }
+
+    fn encode(&self, connection: &HostConnection) -> Vec<u8> {
+        self.message.encode(connection)
+    }
+
+    fn encode_barrier(&self, connection: &HostConnection, number: u32) -> Vec<u8> {
+        let mut payload = Vec::new();
+        Batch::put(&mut payload, &barrier_batch(number));
+        let mut packets = packet_buffer(payload.len());
+        put_message(&mut packets, MessageKind::Batch, connection.session.packet_size, &payload);
+        packets
+    }
+
+    async fn read_barrier(
+        &self, connection: &mut HostConnection, number: u32,
+    ) -> Result<BarrierResponse, ConnectionError> {
+        let mut pending = PendingResponse::new(self.state);
+        read_response(connection, &mut pending, None).await??;
+        let response = pending.response;
+        let value = response.first_row.map(|row| row.first);
+        let is_expected = response.error.is_none() && value == Some(Value::Integer(i64::from(number)));
+        Ok(if is_expected { BarrierResponse::Expected } else { BarrierResponse::Surplus })
+    }
+}
+
 /// Sends a message and reads its response, within the exchange's deadline.
 async fn run(
     exchange: &Exchange<'_>, settings: &TdsSettings, message: &HostMessage<'_>,
@@ -118,13 +167,13 @@
 async fn send_and_read(
     exchange: &Exchange<'_>, settings: &TdsSettings, message: &HostMessage<'_>,
 ) -> Result<HostResponse, ConnectionError> {
-    let connect = async |address| connect_to_host(exchange.state, settings, address).await;
-    let mut connection = exchange.send(connect, |connection| message.encode(connection)).await?;
-    connection.session.reused = true;
+    let request = HostRequest { state: exchange.state, settings, message };
+    let mut connection = exchange.send(&request).await?;
     let mut pending = PendingResponse::new(exchange.state);
     let streamed = exchange.streamed_answer();
     let end = read_response(&mut connection, &mut pending, streamed).await?;
-    let is_idle = end.is_ok() && !pending.response.in_transaction;
+    let reuse = exchange.confirm(&request, &mut connection, &end).await?;
+    let is_idle = reuse == Reuse::Possible && pending.response.leaves_session_clean();
     let response = finish_response(pending.response, end, streamed).await?;
     if is_idle && !closes_connection(&response) {
         exchange.release(connection);
@@ -157,7 +206,7 @@
 ) -> Result<HostConnection, ConnectionError> {
     let options = ConnectionOptions {
         max_buffer_bytes: MAX_PACKET_BYTES + 1,
-        session: SessionState { packet_size: INITIAL_PACKET_BYTES, reused: false },
+        session: SessionState { packet_size: INITIAL_PACKET_BYTES, ..SessionState::default() },
     };
     connect(state, address, options, async |connection: &mut HostConnection| {
         log_in(state, settings, connection).await
--- a/crates/comethitchd/src/protocols/tds/response.rs
+++ b/crates/comethitchd/src/protocols/tds/response.rs
@@ -34,6 +34,8 @@
     pub packet_size: Option<usize>,
     /// Whether a transaction is open, so that the connection cannot be reused.
     pub in_transaction: bool,
+    /// Whether bytes follow the last token in its message, so that the connection cannot be reused.
+    pub has_surplus: bool,
     /// Whether a row or a row count was received.
     has_results: bool,
 }
@@ -61,6 +63,7 @@
             login_accepted: false,
             packet_size: None,
             in_transaction: false,
+            has_surplus: false,
             has_results: false,
         }
     }
@@ -113,6 +116,11 @@
         self.parser.is_complete()
     }
 
+    /// Returns whether neither an open transaction nor surplus prevents the reuse of the connection.
+    pub fn leaves_session_clean(&self) -> bool {
+        !self.in_transaction && !self.has_surplus
+    }
+
     /// Returns the number of buffered bytes.
     pub fn buffered_bytes(&self) -> usize {
         self.unparsed.len() + self.tokens.len()
@@ -120,7 +128,7 @@
 
     fn parse_tokens(&mut self) -> Result<(), MalformedMessage> {
         let mut parsed = 0;
-        while parsed < self.unparsed.len() {
+        while parsed < self.unparsed.len() && !self.is_complete() {
             match self.parser.next(&self.unparsed[parsed..]) {
                 Ok(ParsedToken { token, length }) => {
                     self.add_token(&token, parsed..parsed + length);
@@ -132,6 +140,10 @@
             }
         }
         self.unparsed.drain(..parsed);
+        if self.is_complete() && !self.unparsed.is_empty() {
+            self.has_surplus = true;
+            self.unparsed.clear();
+        }
         Ok(())
     }
 
--- a/crates/comethitchd/src/state/host_connection.rs
+++ b/crates/comethitchd/src/state/host_connection.rs
@@ -37,8 +37,18 @@
 pub struct SessionState {
     /// The negotiated packet size in bytes, for protocols with packets.
     pub packet_size: usize,
-    /// Whether the connection was used before, so that its session must be reset before the next request.
-    pub reused: bool,
+    /// Whether a request was sent on the connection before, so that the host may still send surplus bytes.
+    pub used: bool,
+    /// Number of barriers sent on the connection. The host has answered all of them correctly, except those
+    /// of the use in progress.
+    pub barriers_sent: u32,
+}
+
+impl SessionState {
+    /// Returns whether the connection was used, and the host is not known to answer barriers correctly.
+    pub fn needs_verification(&self) -> bool {
+        self.used && self.barriers_sent == 0
+    }
 }
 
 impl HostConnection {
@@ -123,6 +133,10 @@
     /// The host violated the protocol after the request was sent.
     #[error("the host's answer is malformed")]
     Malformed,
+    /// The host sent more than one answer since the request was sent, so any of them may belong to an earlier
+    /// request.
+    #[error("the host sent surplus bytes, so its answer can't be told from an earlier one")]
+    Ambiguous,
     /// The answer exceeds the maximum size or the memory budget.
     #[error("the host's answer is too large")]
     TooLarge,
@@ -146,7 +160,9 @@
                 AttemptOutcome::ConnectionFailed
             }
             ConnectionError::TooLarge => AttemptOutcome::Error,
-            ConnectionError::BrokenAfterSend | ConnectionError::Malformed => AttemptOutcome::ConnectionReset,
+            ConnectionError::BrokenAfterSend | ConnectionError::Malformed | ConnectionError::Ambiguous => {
+                AttemptOutcome::ConnectionReset
+            }
             ConnectionError::TimedOut => AttemptOutcome::TimedOut,
             ConnectionError::Cancelled => AttemptOutcome::Cancelled,
         }
--- a/crates/comethitchd/src/state/metrics.rs
+++ b/crates/comethitchd/src/state/metrics.rs
@@ -68,6 +68,8 @@
     pub health_checks_failed: Counter,
     /// Connections opened to hosts.
     pub connections_opened: Counter,
+    /// Connections on which a host sent more than the responses that were due.
+    pub surplus_responses: Counter,
     /// Failed calls to accept a client connection.
     pub accepts_failed: Counter,
     /// Attempts that have ended, by outcome.
@@ -98,6 +100,7 @@
         counts.push_nonzero("health_checks", self.health_checks.take());
         counts.push_nonzero("health_checks_failed", self.health_checks_failed.take());
         counts.push_nonzero("connections_opened", self.connections_opened.take());
+        counts.push_nonzero("surplus_responses", self.surplus_responses.take());
         counts.push_nonzero("accepts_failed", self.accepts_failed.take());
         for (outcome, count) in self.attempts.take() {
             counts.push_nonzero(attempts_name(outcome), count);
--- a/crates/comethitchd/src/wire/postgres/mod.rs
+++ b/crates/comethitchd/src/wire/postgres/mod.rs
@@ -3,11 +3,13 @@
 //!
 //! See <https://www.postgresql.org/docs/current/protocol-message-formats.html>.
 
+mod barrier;
 mod message;
 pub mod message_type;
 mod response;
 mod write;
 
+pub use barrier::{BarrierQuery, DISTINCT_BARRIERS};
 pub use message::{
     CancelTarget, Message, StartupMessage, StartupRequest, cancel_target, message, query_text,
     startup_message,
--- a/crates/comethitchd/src/wire/postgres/response.rs
+++ b/crates/comethitchd/src/wire/postgres/response.rs
@@ -75,6 +75,8 @@
     pub in_transaction: bool,
     /// Byte range in `rows` of the body of the last `DataRow`.
     last_row: Option<Range<usize>>,
+    /// Offset in `rows` of the last message.
+    last_message_start: usize,
     phase: ResponsePhase,
     /// Whether rows were already taken to be streamed.
     rows_taken: bool,
@@ -271,6 +273,7 @@
         }
         if next != ResponsePhase::Ready {
             self.check_size(message.raw.len())?;
+            self.last_message_start = self.rows.len();
             self.rows.extend(message.raw);
         }
         self.phase = next;
@@ -307,6 +310,11 @@
         has_rows && self.phase >= ResponsePhase::CommandComplete && self.error_code.is_none()
     }
 
+    /// Returns the last message of `rows` as received.
+    pub fn last_message(&self) -> &[u8] {
+        self.rows.get(self.last_message_start..).unwrap_or_default()
+    }
+
     /// Returns the text of the first column of the last row, or `None` if there is no row.
     pub fn single_value(&self) -> Option<Cow<'_, str>> {
         let row = &self.rows[self.last_row.clone()?];
--- a/crates/comethitchd/tests/send_guard.rs
+++ b/crates/comethitchd/tests/send_guard.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use comethitch_testkit::postgres::answer_without_effect;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -109,6 +110,11 @@
         }
         let mut body = vec![0; length];
         stream.read_exact(&mut body).ok()?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        if let Some(answer) = answer_without_effect(text.trim_end_matches('\0')) {
+            stream.write_all(&[answer, ready()].concat()).ok()?;
+            continue;
+        }
         if is_long {
             report.send(SystemTime::now()).ok()?;
         }
--- a/crates/comethitchd/tests/support/scripted_host.rs
+++ b/crates/comethitchd/tests/support/scripted_host.rs
@@ -6,8 +6,8 @@
 
 use super::messages::{greeting, ready};
 use super::{TEST_TIMEOUT, one_row_answer, parameter_status};
-use comethitch_testkit::postgres::{Message, read_message};
-use std::io::{Read, Write};
+use comethitch_testkit::postgres::{Message, answer_without_effect, read_message};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -21,7 +21,7 @@
     Answer(Vec<u8>),
     /// Sends only these bytes.
     Raw(Vec<u8>),
-    /// Sends nothing until the router sends more bytes or closes the connection, and then closes it.
+    /// Sends nothing until the router closes the connection, and then closes it.
     Silence,
     /// Closes the connection.
     Close,
@@ -144,6 +144,10 @@
         let _ = stream.write_all(&greeting());
         while let Ok(Message { message_type: b'Q', body }) = read_message(&mut stream) {
             let text = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
+            if let Some(answer) = answer_without_effect(&text) {
+                let _ = stream.write_all(&[answer, ready()].concat());
+                continue;
+            }
             match self.act(&text, observer) {
                 HostAction::Answer(answer) => {
                     let rank = parameter_status("rank", if self.is_primary { "source" } else { "copy" });
@@ -153,7 +157,7 @@
                     let _ = stream.write_all(&bytes);
                 }
                 HostAction::Silence => {
-                    let _ = stream.read(&mut [0]);
+                    let _ = io::copy(&mut stream, &mut io::sink());
                     break;
                 }
                 HostAction::Close => return,
--- a/crates/comethitchd/tests/system_calls.rs
+++ b/crates/comethitchd/tests/system_calls.rs
@@ -119,10 +119,13 @@
     let mut daemon = Daemon::start_with_faults("delayed", &config, "seed=1,hold=1,hold_ms=300,from_ms=1000");
     let kill_timer = daemon.kill_after(TEST_TIMEOUT);
     let mut client = PostgresClient::connect(daemon.address);
-    assert_eq!(client.execute(&write_request(1, 2_000)), ClientReply::value("value"));
+    // The second request verifies the connection, so that the third one is its next write.
+    for id in [1, 2] {
+        assert_eq!(client.execute(&write_request(id, 2_000)), ClientReply::value("value"));
+    }
     sleep(Duration::from_secs(1));
-    let _ = client.execute(&write_request(2, 250));
-    daemon.wait_for_log("rule broken rule=sent_after_deadline subject=2");
+    let _ = client.execute(&write_request(3, 250));
+    daemon.wait_for_log("rule broken rule=sent_after_deadline subject=3");
     kill_timer.cancel();
     daemon.shut_down();
 }
