The send guard refuses requests for a primary at a host that has lost the role

Cause: an attempt is decided on while its host is the believed primary, and may be written up to a connect timeout later. The guard before the write checked deadline, drain, repetition and the age of a replica's data, but not whether the host still is the primary. Bounded reads to the believed primary were not checked for age either, and session reads not for their position. Entering Failover closes idle connections and rejects queued requests; attempts that were still connecting went on.

Change: is_acting_primary (believed, not in Failover, not reported as replica since) is the one condition for selection and guard. Writes and strong reads are refused before the write without it (sends_refused_not_primary, the attempt never ran); session and bounded reads then need fresh data. A claim to be the primary is ignored if its request was sent before the host answered as a replica or rejected a write or, in an answer, before another host was confirmed.

Cost: none in messages or connections.

--- a/crates/comethitch-policy/src/policy/attempts.rs
+++ b/crates/comethitch-policy/src/policy/attempts.rs
@@ -19,9 +19,10 @@
         if end.outcome == AttemptOutcome::Answered && !router.settings.deployment().session_tokens_carried {
             router.session_commits.record(session, end.trailer.position.unwrap_or_default());
         }
-        let sent_at = router.host_clock.earliest(attempt.sent_at);
-        router.hosts[attempt.host].replication.apply_trailer(&end.trailer, sent_at);
-        router.apply_report(attempt.host, end.report, attempt.was_answered().then_some(end.trailer), actions);
+        let host_time_sent = router.host_clock.earliest(attempt.sent_at);
+        router.hosts[attempt.host].replication.apply_trailer(&end.trailer, host_time_sent);
+        let trailer = attempt.was_answered().then_some(end.trailer);
+        router.apply_report(attempt.host, end.report, trailer, attempt.sent_at, actions);
         router.fail_over_if_not_primary(&attempt, actions);
         router.continue_request(self.0, &attempt, actions);
         router.drain_queues(router.hosts[attempt.host].listing.shard_id(), actions);
@@ -89,10 +90,12 @@
     /// Moves the shard to Failover if the believed primary has rejected a write because it is not the
     /// primary.
     fn fail_over_if_not_primary(&mut self, attempt: &Attempt, actions: &mut dyn Actions) {
-        if attempt.ended_as(AttemptOutcome::NotPrimary)
-            && self.settings.class(attempt.request_class).consistency == Consistency::Write
-            && self.is_primary(attempt.host)
-        {
+        let is_write = self.settings.class(attempt.request_class).consistency == Consistency::Write;
+        if !is_write || !attempt.ended_as(AttemptOutcome::NotPrimary) {
+            return;
+        }
+        self.hosts[attempt.host].replication.record_rejected_write(actions.now());
+        if self.is_primary(attempt.host) {
             self.fail_over(self.hosts[attempt.host].listing.shard_id(), actions);
         }
     }
--- a/crates/comethitch-policy/src/policy/failover.rs
+++ b/crates/comethitch-policy/src/policy/failover.rs
@@ -77,13 +77,22 @@
             && !self.has_working_primary(shard, now)
     }
 
+    /// Returns whether a host is the believed primary, its shard is not in Failover, and it has not reported
+    /// since that it is a replica. Only such a host counts as having all commits.
+    pub(super) fn is_acting_primary(&self, index: HostIndex) -> bool {
+        let shard = self.shard_of(index);
+        shard.is_primary(index)
+            && shard.state() != ShardState::Failover
+            && self.hosts[index].replication.role() != Some(Role::Replica)
+    }
+
     /// Returns whether the believed primary may get requests that need a primary.
     pub(super) fn primary_serves(&self, primary: HostIndex, shard: &Shard, now: Timestamp) -> bool {
         let host = &self.hosts[primary];
         let is_reachable = !host.health.is_ejected(now) && !host.health.is_unreachable();
         match shard.state() {
-            _ if self.is_past_drain_grace(primary, now) => false,
-            ShardState::Healthy => host.replication.role() != Some(Role::Replica),
+            _ if self.is_past_drain_grace(primary, now) || !self.is_acting_primary(primary) => false,
+            ShardState::Healthy => true,
             // Beyond the design: an unresponsive primary occasionally gets a request as a trial.
             ShardState::Unhealthy => is_reachable || self.has_working_primary(shard, now),
             ShardState::Failover => false,
--- a/crates/comethitch-policy/src/policy/health.rs
+++ b/crates/comethitch-policy/src/policy/health.rs
@@ -48,7 +48,7 @@
         }
         let next_check_at = self.hosts[index].checks.next_at();
         self.shard_of_mut(index).bring_review_forward(next_check_at);
-        self.apply_report(index, report, None, actions);
+        self.apply_report(index, report, None, sent_at, actions);
         self.drain_queues(self.hosts[index].listing.shard_id(), actions);
     }
 
--- a/crates/comethitch-policy/src/policy/reports.rs
+++ b/crates/comethitch-policy/src/policy/reports.rs
@@ -6,9 +6,10 @@
 use crate::{Actions, LoadReport, Role, ShardState};
 
 impl Router {
-    /// Applies a host's load report and, if the host answered a request, the response trailer.
+    /// Applies a host's load report and, if the host answered a request, the response trailer. `sent_at` is
+    /// when the request or the health check was sent.
     pub(super) fn apply_report(
-        &mut self, index: HostIndex, report: LoadReport, trailer: Option<LoadReport>,
+        &mut self, index: HostIndex, report: LoadReport, trailer: Option<LoadReport>, sent_at: Timestamp,
         actions: &mut dyn Actions,
     ) {
         let now = actions.now();
@@ -18,12 +19,15 @@
         }
         // A report may have been delayed. If it is older than the last confirmation of the host as the
         // primary, a role of replica in it is ignored.
-        let replication = &mut self.hosts[index].replication;
+        let replication = &self.hosts[index].replication;
         let last_seen_primary = self.host_clock.estimated(replication.last_seen_primary());
         let is_newer = report.position.is_none_or(|position| position > last_seen_primary);
         let reported_role = report.role.filter(|role| *role == Role::Primary || is_newer);
         let Some(role) = trailer.and_then(|trailer| trailer.role).or(reported_role) else { return };
-        replication.set_role(role);
+        if role == Role::Primary && self.is_claim_outdated(index, trailer.is_some(), sent_at) {
+            return;
+        }
+        self.hosts[index].replication.record_role(role, now);
         if role == Role::Primary && self.accepts_primary_claim(index, trailer.is_some()) {
             self.confirm_primary(index, actions);
         } else if role == Role::Replica && self.is_primary(index) {
@@ -58,6 +62,15 @@
         }
     }
 
+    /// Returns whether a host's claim to be the primary may be older than what the router knows: an answer that
+    /// was delayed on the way must not undo a failover. After the claim's request was sent, the host has
+    /// answered as a replica, or, for a claim without a position, another host was confirmed as the primary.
+    fn is_claim_outdated(&self, index: HostIndex, in_response: bool, sent_at: Timestamp) -> bool {
+        let successor = self.shard_of(index).primary.filter(|primary| in_response && *primary != index);
+        let is_newer = |primary: HostIndex| sent_at < self.hosts[primary].replication.last_seen_primary();
+        sent_at < self.hosts[index].replication.last_seen_replica() || successor.is_some_and(is_newer)
+    }
+
     /// Returns whether a host's claim to be the primary is accepted. `in_response` is whether the claim came
     /// with the answer to a request.
     fn accepts_primary_claim(&self, index: HostIndex, in_response: bool) -> bool {
--- a/crates/comethitch-policy/src/policy/selection.rs
+++ b/crates/comethitch-policy/src/policy/selection.rs
@@ -11,7 +11,7 @@
 use crate::request_state::RequestState;
 use crate::shard::Shard;
 use crate::time::{Duration, Timestamp};
-use crate::{Consistency, Idempotency, RequestId, Role, ShardId, ShardState};
+use crate::{Consistency, Idempotency, RequestId, ShardId};
 use comethitch_fleet::subset::{Candidate, Member};
 use comethitch_fleet::{freshness, subset};
 
@@ -149,8 +149,7 @@
         if is_session_read && host.load.in_flight() == Duration::ZERO {
             work = work.scaled(self.admission_sample(primary, now));
         }
-        self.shard_of(primary).state() != ShardState::Failover
-            && host.replication.role() != Some(Role::Replica)
+        self.is_acting_primary(primary)
             && self.is_eligible(request, &Member::of_all_routers(primary), now)
             && host.load.in_flight() + work <= host.load.limit().scaled(PRIMARY_READ_LIMIT_FRACTION)
     }
--- a/crates/comethitch-policy/src/policy/send_guard.rs
+++ b/crates/comethitch-policy/src/policy/send_guard.rs
@@ -10,7 +10,8 @@
 
 impl Handle {
     /// Checks whether an attempt may be written now. Since the attempt was decided on, its request may have
-    /// been rejected, its host may have begun to drain, or the host's data may have become too old.
+    /// been rejected, its host may have begun to drain or lost the role of the primary, or the host's data may
+    /// have become too old.
     ///
     /// # Errors
     ///
@@ -24,9 +25,11 @@
         if now >= request.deadline {
             return Err(SendRefusal::DeadlinePassed);
         }
-        if router.enforced_bound(request, index).is_some()
-            && !router.is_fresh(index, router.class_of(request).consistency, request, now)
-        {
+        let consistency = router.class_of(request).consistency;
+        if consistency.needs_primary() && !router.is_acting_primary(index) {
+            return Err(SendRefusal::NotPrimary);
+        }
+        if router.enforces_freshness(request, index) && !router.is_fresh(index, consistency, request, now) {
             return Err(SendRefusal::DataTooOld);
         }
         if router.is_past_drain_grace(index, now) {
--- a/crates/comethitch-policy/src/policy/staleness.rs
+++ b/crates/comethitch-policy/src/policy/staleness.rs
@@ -47,13 +47,21 @@
         }
     }
 
+    /// Returns whether the router alone enforces that a host's data are fresh enough for a read. It does not if
+    /// the host is the primary or checks staleness itself, or if the read may see data of any age.
+    pub(super) fn enforces_freshness(&self, request: &RequestState, index: HostIndex) -> bool {
+        let needs_fresh_data = matches!(
+            self.class_of(request).consistency,
+            Consistency::BoundedStaleness(_) | Consistency::Session
+        );
+        needs_fresh_data && self.settings.router_enforces_staleness() && !self.is_acting_primary(index)
+    }
+
     /// Returns the staleness bound that the router alone enforces for a request at this host. Returns `None`
     /// if the host is the primary or checks staleness itself, or the request has no bound.
     pub(super) fn enforced_bound(&self, request: &RequestState, index: HostIndex) -> Option<Duration> {
-        let is_enforced =
-            self.settings.router_enforces_staleness() && !self.shards[request.shard_id].is_primary(index);
         match self.class_of(request).consistency {
-            Consistency::BoundedStaleness(bound) if is_enforced => Some(bound),
+            Consistency::BoundedStaleness(bound) if self.enforces_freshness(request, index) => Some(bound),
             _ => None,
         }
     }
--- a/crates/comethitch-policy/src/replication_status.rs
+++ b/crates/comethitch-policy/src/replication_status.rs
@@ -12,6 +12,8 @@
     role: Option<Role>,
     /// When the host was last confirmed as primary; zero if it never was.
     last_seen_primary: Timestamp,
+    /// When an answer of the host last showed that it is a replica; zero if none ever did.
+    last_seen_replica: Timestamp,
     position: Timestamp,
     /// The replication lag at the last report of the position.
     lag: Duration,
@@ -24,9 +26,22 @@
         self.role
     }
 
-    /// Records a reported role.
-    pub(crate) fn set_role(&mut self, role: Role) {
+    /// Records a role that was reported in an answer that arrived at `now`.
+    pub(crate) fn record_role(&mut self, role: Role, now: Timestamp) {
         self.role = Some(role);
+        if role == Role::Replica {
+            self.last_seen_replica = now;
+        }
+    }
+
+    /// Records that the host rejected a write because it is not the primary.
+    pub(crate) fn record_rejected_write(&mut self, now: Timestamp) {
+        self.last_seen_replica = now;
+    }
+
+    /// Returns when an answer of the host last showed that it is a replica; zero if none ever did.
+    pub(crate) fn last_seen_replica(&self) -> Timestamp {
+        self.last_seen_replica
     }
 
     /// Returns when the host was last confirmed as primary; zero if it never was.
--- a/crates/comethitch-policy/src/send.rs
+++ b/crates/comethitch-policy/src/send.rs
@@ -12,6 +12,9 @@
     /// The deadline of the request has passed, so its client no longer waits.
     #[error("the request's deadline has passed")]
     DeadlinePassed,
+    /// The request needs a primary, and the host is no longer believed to be one.
+    #[error("the host is no longer believed to be the primary")]
+    NotPrimary,
     /// The data of the host may be older than the read allows.
     #[error("the host's data may be too old")]
     DataTooOld,
@@ -31,6 +34,7 @@
             SendRefusal::RequestFinished => "command_finished",
             SendRefusal::AttemptEnded => "attempt_ended",
             SendRefusal::DeadlinePassed => "deadline_passed",
+            SendRefusal::NotPrimary => "not_primary",
             SendRefusal::DataTooOld => "data_too_old",
             SendRefusal::HostDrains => "host_drains",
             SendRefusal::MayNotRepeat => "may_not_repeat",
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -38,7 +38,7 @@
 pub(crate) use daemon::{Daemon, KillTimer};
 pub(crate) use discovery::{Discovery, read_http_request, send_chunk};
 pub(crate) use discovery_agent::{AgentBehavior, DiscoveryAgent};
-pub(crate) use gate::gate;
+pub(crate) use gate::{Gate, gate};
 pub(crate) use late_host::LateHost;
 pub(crate) use messages::{pipelined_writes, read_request, ready, write_request};
 pub(crate) use postgres_client::{ClientReply, PostgresClient};
