--- a/crates/comethitch-lab/src/live/mod.rs
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -23,6 +23,7 @@
 mod network;
 mod process_table;
 mod run;
+mod self_check;
 mod startup;
 mod state;
 
--- a/crates/comethitchd/src/protocols/attempt.rs
+++ b/crates/comethitchd/src/protocols/attempt.rs
@@ -81,11 +81,11 @@
     /// the process may have been suspended between the two.
     pub(super) fn verify_sent(&self) {
         let router = self.state.policy();
+        let now = self.state.clock.now();
         let handle = router.handle(self.request);
-        let violation =
-            handle.and_then(|handle| handle.send_violation(&router, self.number, self.state.clock.now()));
-        if let Some(violation) = violation {
-            self.state.record_violation(violation.name(), &self.statement.client_id);
+        if let Some(violation) = handle.and_then(|handle| handle.send_violation(&router, self.number, now)) {
+            let late = now - self.deadline;
+            self.state.record_violation(violation.name(), &self.statement.client_id, late);
         }
     }
 
--- a/crates/comethitchd/src/protocols/client_connection/mod.rs
+++ b/crates/comethitchd/src/protocols/client_connection/mod.rs
@@ -22,7 +22,7 @@
 use async_channel::Receiver;
 use async_io::Async;
 use comethitch_policy::RequestId;
-use comethitch_policy::time::Timestamp;
+use comethitch_policy::time::{Duration as PolicyDuration, Timestamp};
 use comethitch_statement::assign::Argument;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use std::cell::Cell;
@@ -236,7 +236,8 @@
             Disconnect::ClientGone | Disconnect::BrokenAnswer => false,
         };
         if closed_by_router && self.answer_outstanding.get() {
-            self.state.record_violation("closed_without_answer", &format!("client {}", self.number));
+            let subject = format!("client {}", self.number);
+            self.state.record_violation("closed_without_answer", &subject, PolicyDuration::ZERO);
         }
     }
 
--- a/crates/comethitchd/src/state/router_state.rs
+++ b/crates/comethitchd/src/state/router_state.rs
@@ -15,7 +15,7 @@
 use crate::state::step_times::EventLoopStep;
 use crate::state::transition_log::TransitionLog;
 use async_executor::LocalExecutor;
-use comethitch_policy::time::Timestamp;
+use comethitch_policy::time::{Duration, Timestamp};
 use comethitch_policy::{ActionQueue, AttemptOutcome, Host, Role, Router};
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
@@ -115,9 +115,10 @@
     }
 
     /// Counts and logs the violation of one of the router's own rules, which a check has found afterwards.
-    pub(crate) fn record_violation(&self, rule: &'static str, subject: &str) {
+    /// `late` is the time since the request's deadline; zero if that has not passed or there is none.
+    pub(crate) fn record_violation(&self, rule: &'static str, subject: &str, late: Duration) {
         self.metrics.violations.increment(rule);
-        log::error!(rule, subject; "rule broken");
+        log::error!(rule, subject, late_us = late.as_micros(); "rule broken");
     }
 
     /// Logs what has changed in the policy's view of the fleet since the last call.
