--- a/crates/comethitchd/src/protocols/barrier.rs
+++ b/crates/comethitchd/src/protocols/barrier.rs
@@ -5,22 +5,20 @@
 //! after the next request on the connection was written, however long it takes, it would be served to the
 //! wrong client, and each later response would be taken for the one before it.
 //!
-//! Hosts respond in order, so the responses to two barriers enclose the response to a request that is sent
-//! between them:
+//! Hosts respond in order. A response on a reused connection is therefore held back until the response to a
+//! barrier has followed it, which is sent once the response has arrived. If the host has sent any other response
+//! since the request, one of the two is surplus, and the exchange fails as
+//! [`Ambiguous`](ConnectionError::Ambiguous): the request may have run. This holds however late the surplus
+//! arrives, as it depends on the order of bytes alone.
 //!
-//! - What precedes the response to the leading barrier was sent before the host read the request. It is
-//!   surplus of earlier requests, and is dropped.
-//! - The response to the trailing barrier ends the exchange. If a second response precedes it, either of the
-//!   two may be surplus, and the exchange fails as [`Ambiguous`](ConnectionError::Ambiguous).
-//!
-//! Where a protocol does not allow a message before the response to the previous one, there is no leading
-//! barrier, and the trailing one is sent after the response. Then anything but the response to the trailing
-//! barrier makes the exchange ambiguous.
+//! The barrier is not sent together with the request: a host that does not read while it executes would not see
+//! that the connection was closed to cancel the request.
 //!
 //! Successive barriers of a connection have different responses, so that a late copy of an earlier barrier's
-//! response does not pass for the expected one. The first request on a connection needs no barriers, as there
-//! is no earlier response. Before its first reuse, a connection is [verified](verify): a host that does not
-//! answer barriers correctly gets a new connection for each request, and no request fails because of that.
+//! response does not pass for the expected one. The first request on a connection needs no barrier, as there
+//! is no earlier response. Before the first reuse of a connection to a host, the host is [verified](verify) on
+//! it: one that does not answer barriers correctly gets a new connection for each request, and no request fails
+//! because of that. After any unexpected response, the host is verified again.
 
 use crate::state::host_connection::{ConnectionError, HostConnection};
 use futures_lite::AsyncWriteExt;
@@ -30,8 +28,6 @@
 pub(super) trait HostProtocol {
     /// Number of successive barriers whose responses all differ. [`verify`] sends this many.
     const DISTINCT_BARRIERS: u32;
-    /// Whether a message may be sent before the response to the previous one has arrived.
-    const PIPELINES: bool;
 
     /// Opens a connection to a host.
     ///
@@ -75,7 +71,7 @@
 }
 
 /// Encodes the next barrier of a connection, and counts it as sent.
-pub(super) fn encode_next<P: HostProtocol>(protocol: &P, connection: &mut HostConnection) -> Vec<u8> {
+fn encode_next<P: HostProtocol>(protocol: &P, connection: &mut HostConnection) -> Vec<u8> {
     let number = connection.session.barriers_sent;
     connection.session.barriers_sent += 1;
     protocol.encode_barrier(connection, number)
@@ -100,52 +96,21 @@
     Ok(())
 }
 
-/// Reads up to the end of the response of the leading barrier, and drops the surplus before it. Returns the
-/// number of dropped responses.
-///
-/// # Errors
-/// [`ConnectionError::Ambiguous`] if the surplus is malformed, or that the connection broke.
-pub(super) async fn skip_surplus<P: HostProtocol>(
-    protocol: &P, connection: &mut HostConnection,
-) -> Result<usize, ConnectionError> {
-    // The trailing barrier was sent after the leading one.
-    let leading = connection.session.barriers_sent - 2;
-    let mut dropped = 0;
-    loop {
-        match protocol.read_barrier(connection, leading).await {
-            Ok(BarrierResponse::Expected) => return Ok(dropped),
-            Ok(BarrierResponse::ExpectedAfterSurplus) => return Ok(dropped + 1),
-            Ok(BarrierResponse::Surplus) => dropped += 1,
-            Err(ConnectionError::Malformed) => return Err(ConnectionError::Ambiguous),
-            Err(error) => return Err(error),
-        }
-    }
-}
-
-/// Reads the response of the trailing barrier, which must follow the response that was read last.
+/// Sends a barrier, and reads its response, which must follow the response that was read last.
 ///
 /// # Errors
-/// [`ConnectionError::Ambiguous`] if another response follows. Without a leading barrier, also if anything
-/// else follows, or that the connection broke.
+/// [`ConnectionError::Ambiguous`] if another response or malformed bytes follow, or that the connection broke.
 pub(super) async fn confirm<P: HostProtocol>(
     protocol: &P, connection: &mut HostConnection,
 ) -> Result<Reuse, ConnectionError> {
-    if !P::PIPELINES {
-        if !connection.buffer.unread().is_empty() {
-            return Err(ConnectionError::Ambiguous);
-        }
-        let barrier = encode_next(protocol, connection);
-        write(connection, &barrier).await?;
-    }
-    let trailing = connection.session.barriers_sent - 1;
-    match protocol.read_barrier(connection, trailing).await {
+    let number = connection.session.barriers_sent;
+    let barrier = encode_next(protocol, connection);
+    write(connection, &barrier).await?;
+    match protocol.read_barrier(connection, number).await {
         Ok(BarrierResponse::Expected) => Ok(Reuse::Possible),
-        Ok(BarrierResponse::Surplus) => Err(ConnectionError::Ambiguous),
-        // After a leading barrier, only a second complete response makes the first one doubtful.
-        _ if P::PIPELINES => Ok(Reuse::Impossible),
-        Ok(BarrierResponse::ExpectedAfterSurplus) | Err(ConnectionError::Malformed) => {
-            Err(ConnectionError::Ambiguous)
-        }
+        // Only a complete response could be that of the request.
+        Ok(BarrierResponse::ExpectedAfterSurplus) => Ok(Reuse::Impossible),
+        Ok(BarrierResponse::Surplus) | Err(ConnectionError::Malformed) => Err(ConnectionError::Ambiguous),
         Err(error) => Err(error),
     }
 }
--- a/crates/comethitchd/src/protocols/exchange.rs
+++ b/crates/comethitchd/src/protocols/exchange.rs
@@ -16,7 +16,7 @@
 use async_io::Timer;
 use comethitch_policy::Host;
 use comethitch_policy::time::{Duration, Timestamp};
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::FutureExt;
 use std::cell::Cell;
 use std::future::Future;
 use std::io::ErrorKind;
@@ -86,11 +86,10 @@
     }
 
     /// Sends the protocol's message, and returns the connection, which is an idle one from the pool or, if
-    /// there is none, a new one. The next bytes that it receives are those of the response.
+    /// there is none, a new one.
     ///
     /// # Errors
-    /// If the message could not be sent, the send check failed once a connection was available, or the
-    /// connection broke before the response.
+    /// If the message could not be sent, or the send check failed once a connection was available.
     pub(super) async fn send<P: HostProtocol>(
         &self, protocol: &P,
     ) -> Result<HostConnection, ConnectionError> {
@@ -98,7 +97,7 @@
         loop {
             let idle = self.take_idle(protocol, address).await;
             let is_new = idle.is_none();
-            let mut connection = match idle {
+            let connection = match idle {
                 Some(idle) => idle,
                 None => {
                     protocol.connect(address).await.inspect_err(|error| self.record_connect_error(error))?
@@ -108,11 +107,8 @@
                 self.release(connection);
                 return Err(self.record_refused(refused));
             }
-            match self.write(protocol, &mut connection).await {
-                Ok(()) => {
-                    self.skip_surplus(protocol, &mut connection).await?;
-                    return Ok(connection);
-                }
+            match self.write(protocol, &connection).await {
+                Ok(()) => return Ok(connection),
                 // The message is incomplete without its last byte, so the host cannot run it.
                 Err(WriteError::Refused(refused)) => return Err(self.record_refused(refused)),
                 // The host had closed the idle connection, so it has run nothing: try another connection.
@@ -122,62 +118,27 @@
         }
     }
 
-    /// Takes an idle connection to the host from the pool, and verifies it before its first reuse. Returns
-    /// `None` if there is none, or if verifying it fails or takes longer than the connect timeout.
+    /// Takes an idle connection to the host from the pool. Verifies it first if it was used before and the host
+    /// is not known to answer barriers. Returns `None` if there is none, or if verifying it fails or takes
+    /// longer than the connect timeout.
     async fn take_idle<P: HostProtocol>(&self, protocol: &P, address: SocketAddr) -> Option<HostConnection> {
         let mut connection = self.state.hosts.take_idle(self.host, address, self.state.clock.now())?;
-        if !connection.session.needs_verification() || self.check_send().is_err() {
+        let is_known = !connection.session.used || self.state.hosts.answers_barriers(self.host);
+        if is_known || self.check_send().is_err() {
             return Some(connection);
         }
-        let connect_timeout = self.state.config.deployment.connect_timeout.to_std();
-        let timeout = after(connect_timeout, Err(ConnectionError::TimedOut));
-        match barrier::verify(protocol, &mut connection).or(timeout).await {
-            Ok(()) => Some(connection),
-            Err(error) => {
-                self.record_surplus(&error);
-                None
-            }
-        }
+        let reuse = self.verify(protocol, &mut connection).await;
+        (reuse == Reuse::Possible).then_some(connection)
     }
 
-    /// Writes the message, between two barriers if the connection was used before and the protocol allows
-    /// pipelining. The message counts as sent once its own last byte is written.
     async fn write<P: HostProtocol>(
-        &self, protocol: &P, connection: &mut HostConnection,
+        &self, protocol: &P, connection: &HostConnection,
     ) -> Result<(), WriteError<SendRefused>> {
         let encoded_at = self.state.clock.now();
-        let mut bytes = Vec::new();
-        let has_barriers = has_pipelined_barriers::<P>(connection);
-        if has_barriers {
-            bytes = barrier::encode_next(protocol, connection);
-        }
-        bytes.extend(protocol.encode(connection));
-        let end_of_message = bytes.len();
-        if has_barriers {
-            bytes.extend(barrier::encode_next(protocol, connection));
-        }
-        let check = || self.check_write(encoded_at);
-        let written = connection.stream.write_checked(&bytes, end_of_message, check).await?;
+        let message = protocol.encode(connection);
+        connection.stream.write_checked(&message, || self.check_write(encoded_at)).await?;
         self.sent.set(true);
         self.attempt.inspect(|attempt| attempt.verify_sent());
-        if written < bytes.len() {
-            // If this fails, the trailing barrier is not answered either.
-            let _ = (&connection.stream).write_all(&bytes[written..]).await;
-        }
-        Ok(())
-    }
-
-    async fn skip_surplus<P: HostProtocol>(
-        &self, protocol: &P, connection: &mut HostConnection,
-    ) -> Result<(), ConnectionError> {
-        if !has_pipelined_barriers::<P>(connection) {
-            return Ok(());
-        }
-        let dropped = barrier::skip_surplus(protocol, connection).await;
-        let dropped = dropped.inspect_err(|error| self.record_surplus(error))?;
-        if dropped > 0 {
-            self.record_surplus(&ConnectionError::Ambiguous);
-        }
         Ok(())
     }
 
@@ -185,7 +146,7 @@
     /// can be reused. `end` is how reading the response ended.
     ///
     /// # Errors
-    /// If the response may belong to an earlier message.
+    /// If the connection was used before, and the response may belong to an earlier message.
     pub(super) async fn confirm<P: HostProtocol>(
         &self, protocol: &P, connection: &mut HostConnection, end: &ResponseEnd,
     ) -> Result<Reuse, ConnectionError> {
@@ -195,16 +156,37 @@
                 let confirmed = barrier::confirm(protocol, connection).await;
                 confirmed.inspect_err(|error| self.record_surplus(error))
             }
+            Err(error) if was_used => Err(error.clone()),
+            // The response to the first message of a connection can't be that of another one.
+            Ok(()) if self.attempt.is_none() && !self.state.hosts.answers_barriers(self.host) => {
+                Ok(self.verify(protocol, connection).await)
+            }
             Ok(()) => Ok(Reuse::Possible),
-            Err(error) if was_used && !P::PIPELINES => Err(error.clone()),
             Err(_) => Ok(Reuse::Impossible),
         }
     }
 
+    /// Checks that the host answers barriers, and returns whether the connection can be reused.
+    async fn verify<P: HostProtocol>(&self, protocol: &P, connection: &mut HostConnection) -> Reuse {
+        let connect_timeout = self.state.config.deployment.connect_timeout.to_std();
+        let timeout = after(connect_timeout, Err(ConnectionError::TimedOut));
+        match barrier::verify(protocol, connection).or(timeout).await {
+            Ok(()) => {
+                self.state.hosts.record_answers_barriers(self.host, true);
+                Reuse::Possible
+            }
+            Err(error) => {
+                self.record_surplus(&error);
+                Reuse::Impossible
+            }
+        }
+    }
+
     /// Counts and logs that a host sent surplus bytes, or did not answer a barrier.
     fn record_surplus(&self, error: &ConnectionError) {
         if *error == ConnectionError::Ambiguous {
             self.state.metrics.surplus_responses.increment();
+            self.state.hosts.record_answers_barriers(self.host, false);
         }
         let endpoints = self.state.hosts.directory();
         log::debug!(host = endpoints.name(self.host), error:%; "barrier not answered as expected");
@@ -245,11 +227,6 @@
     }
 }
 
-/// Returns whether messages on a connection are enclosed by barriers that are written together with them.
-fn has_pipelined_barriers<P: HostProtocol>(connection: &HostConnection) -> bool {
-    P::PIPELINES && connection.session.used
-}
-
 /// How much of a response is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ResponseProgress {
--- a/crates/comethitchd/src/protocols/postgres/backend.rs
+++ b/crates/comethitchd/src/protocols/postgres/backend.rs
@@ -96,7 +96,6 @@
 
 impl<E: Fn() -> Vec<u8>> HostProtocol for Query<'_, E> {
     const DISTINCT_BARRIERS: u32 = postgres::DISTINCT_BARRIERS;
-    const PIPELINES: bool = true;
 
     async fn connect(&self, address: SocketAddr) -> Result<HostConnection, ConnectionError> {
         connect_to_host(self.state, address).await
--- a/crates/comethitchd/src/protocols/tds/backend.rs
+++ b/crates/comethitchd/src/protocols/tds/backend.rs
@@ -126,8 +126,6 @@
 impl HostProtocol for HostRequest<'_> {
     // The answers of all barriers of a connection differ, but one shows that the host answers them.
     const DISTINCT_BARRIERS: u32 = 1;
-    // Without MARS, a client may send a message only after the response to the last one.
-    const PIPELINES: bool = false;
 
     async fn connect(&self, address: SocketAddr) -> Result<HostConnection, ConnectionError> {
         connect_to_host(self.state, self.settings, address).await
--- a/crates/comethitchd/src/state/host_connection.rs
+++ b/crates/comethitchd/src/state/host_connection.rs
@@ -39,18 +39,10 @@
     pub packet_size: usize,
     /// Whether a request was sent on the connection before, so that the host may still send surplus bytes.
     pub used: bool,
-    /// Number of barriers sent on the connection. The host has answered all of them correctly, except those
-    /// of the use in progress.
+    /// Number of barriers sent on the connection.
     pub barriers_sent: u32,
 }
 
-impl SessionState {
-    /// Returns whether the connection was used, and the host is not known to answer barriers correctly.
-    pub fn needs_verification(&self) -> bool {
-        self.used && self.barriers_sent == 0
-    }
-}
-
 impl HostConnection {
     /// Returns whether nothing was received while the connection was idle. After the end of the stream, an
     /// error or an unexpected message, the connection can't be used again.
--- a/crates/comethitchd/src/state/hosts.rs
+++ b/crates/comethitchd/src/state/hosts.rs
@@ -9,6 +9,7 @@
 use comethitch_policy::time::{Duration, Timestamp};
 use comethitch_policy::{Host, Role};
 use std::cell::{Ref, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// Owns the endpoint directory, the pool of idle connections and the descriptor limit of connections to
@@ -16,6 +17,8 @@
 pub struct Hosts {
     directory: RefCell<EndpointDirectory>,
     pool: RefCell<ConnectionPool>,
+    /// Listed hosts that are known to answer barriers correctly.
+    answering_barriers: RefCell<BTreeSet<Host>>,
     descriptors: DescriptorLimit,
 }
 
@@ -26,6 +29,7 @@
         Hosts {
             directory: RefCell::default(),
             pool: RefCell::new(ConnectionPool::new(host_idle_timeout)),
+            answering_barriers: RefCell::default(),
             descriptors,
         }
     }
@@ -39,7 +43,25 @@
     /// removes or moves to another address.
     pub fn apply_endpoint_list(&self, list: &EndpointList) {
         let removed_or_moved = self.directory.borrow_mut().apply(list);
-        removed_or_moved.into_iter().for_each(|host| self.close_idle(host));
+        for host in removed_or_moved {
+            self.close_idle(host);
+            self.record_answers_barriers(host, false);
+        }
+    }
+
+    /// Returns whether a host is known to answer barriers correctly.
+    pub fn answers_barriers(&self, host: Host) -> bool {
+        self.answering_barriers.borrow().contains(&host)
+    }
+
+    /// Records whether a host answers barriers correctly.
+    pub fn record_answers_barriers(&self, host: Host, answers: bool) {
+        let mut answering = self.answering_barriers.borrow_mut();
+        if answers {
+            answering.insert(host);
+        } else {
+            answering.remove(&host);
+        }
     }
 
     /// Forgets the version of the current endpoint list, so that the complete list is fetched next.
--- a/crates/comethitchd/src/state/socket.rs
+++ b/crates/comethitchd/src/state/socket.rs
@@ -176,19 +176,17 @@
         }
     }
 
-    /// Writes bytes until at least the first `checked_length` of them are written, and returns how many are.
-    /// Calls `check` right before each system call that may write the last of the first `checked_length`
-    /// bytes, because a peer that reads slowly can delay a write for a long time.
+    /// Writes all bytes. Calls `check` right before each system call that may write the last byte, because a
+    /// peer that reads slowly can delay a write for a long time.
     ///
     /// # Errors
     ///
-    /// The refusal of `check`, or the connection's own error. In both cases the last of the first
-    /// `checked_length` bytes was not written.
+    /// The refusal of `check`, or the connection's own error. In both cases the last byte was not written.
     pub async fn write_checked<R>(
-        &self, bytes: &[u8], checked_length: usize, check: impl Fn() -> Result<(), R>,
-    ) -> Result<usize, WriteError<R>> {
+        &self, bytes: &[u8], check: impl Fn() -> Result<(), R>,
+    ) -> Result<(), WriteError<R>> {
         let mut written = 0;
-        while written < checked_length {
+        while written < bytes.len() {
             let rest = &bytes[written..];
             written += poll_fn(|context| {
                 check().map_err(WriteError::Refused)?;
@@ -197,7 +195,7 @@
             .await?;
         }
         self.may_have_unsent_bytes.set(bytes.len() > MAX_BUFFERED_REQUEST_BYTES);
-        Ok(written)
+        Ok(())
     }
 
     /// Limits how many written bytes the system buffers for a peer that reads slowly.
--- a/crates/comethitchd/src/wire/postgres/barrier.rs
+++ b/crates/comethitchd/src/wire/postgres/barrier.rs
@@ -14,10 +14,9 @@
 
 use BarrierQuery::{Empty, Set};
 
-/// The barriers of a connection, which follow each other in this order and then start again. Each two enclose
-/// one request. All four combinations come in turn, so that a second copy of everything that a host sent for
-/// one of the last three requests differs from what is expected.
-const SEQUENCE: [BarrierQuery; 8] = [Empty, Set, Set, Set, Set, Empty, Empty, Empty];
+/// The barriers of a connection, which follow each other in this order and then start again. A second copy of
+/// everything that a host sent for the last request differs from what is expected, as the barriers alternate.
+const SEQUENCE: [BarrierQuery; 2] = [Empty, Set];
 /// Number of barriers at the start of the sequence that include both queries.
 pub const DISTINCT_BARRIERS: u32 = 2;
 
