Hosts of the lab as before, and health checks that don't wait for barriers

A health check ended only once its host had answered the check of barriers, within the same timeout as the report: a host that never answers a barrier would have failed all health checks although its reports were read. The check of a host is now only made before the first reuse of a connection.

The lab's own link model of pipelined messages (host_link.rs) was needed only while barriers were written together with requests.

--- a/crates/comethitch-lab/src/live/hosts.rs
+++ b/crates/comethitch-lab/src/live/hosts.rs
@@ -1,7 +1,8 @@
 //! Database hosts on loopback, which serve the simulated hosts over the PostgreSQL protocol.
 
-use super::host_link::{HostLink, ReceivedMessage};
-use super::network::{Listener, Message, Purpose, address, connecting_router, listen, message_type, now};
+use super::network::{
+    Listener, Message, Purpose, address, connecting_router, listen, message_type, now, read_message,
+};
 use super::state::{JobId, LiveFleet, SharedFleet};
 use crate::error::RunError;
 use crate::hosts::{Admission, Job, SimulatedHost, StartedJob};
@@ -56,12 +57,21 @@
     fleet.spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let Some(router) = connecting_router(&stream) else { continue };
-            served.spawn(serve_connection(served.clone(), index, router, stream));
+            let connection = Connection { fleet: served.clone(), host: index, router, stream };
+            served.spawn(connection.run());
         }
     });
     Ok(index)
 }
 
+/// A router's connection to a host.
+struct Connection {
+    fleet: SharedFleet,
+    host: usize,
+    router: usize,
+    stream: Async<TcpStream>,
+}
+
 /// A request, parsed from its statement.
 #[derive(Clone, Copy)]
 struct HostRequest {
@@ -72,120 +82,104 @@
     received_at: Timestamp,
 }
 
-/// Serves a router's connection to a host up to its end.
-async fn serve_connection(fleet: SharedFleet, host: usize, router: usize, stream: Async<TcpStream>) {
-    *fleet.open_connections.borrow_mut().entry(host).or_default() += 1;
-    if is_reachable(&fleet, host) {
-        fleet.ledger.borrow_mut().connections += 1;
+impl Connection {
+    async fn run(mut self) {
+        let fleet = self.fleet.clone();
+        *fleet.open_connections.borrow_mut().entry(self.host).or_default() += 1;
         // An error means that the router or a fault has closed the connection.
-        let _ = serve_session(&fleet, host, router, stream).await;
+        let _ = self.serve().await;
+        *fleet.open_connections.borrow_mut().entry(self.host).or_default() -= 1;
     }
-    *fleet.open_connections.borrow_mut().entry(host).or_default() -= 1;
-}
 
-async fn serve_session(
-    fleet: &SharedFleet, host: usize, router: usize, mut stream: Async<TcpStream>,
-) -> io::Result<()> {
-    let _ = stream.get_ref().set_nodelay(true);
-    if start_session(fleet, host, router, &mut stream).await? {
-        let link = HostLink::new(fleet, router, host, stream);
-        Connection { fleet: fleet.clone(), host, router, link }.serve().await?;
+    fn is_reachable(&self) -> bool {
+        self.fleet.hosts.borrow()[self.host].is_reachable()
     }
-    Ok(())
-}
 
-fn is_reachable(fleet: &LiveFleet, host: usize) -> bool {
-    fleet.hosts.borrow()[host].is_reachable()
-}
-
-/// Reads the startup message and accepts the connection. Returns `false` if it closes the connection instead.
-async fn start_session(
-    fleet: &LiveFleet, host: usize, router: usize, stream: &mut Async<TcpStream>,
-) -> io::Result<bool> {
-    let mut length = [0; LENGTH_FIELD_BYTES];
-    stream.read_exact(&mut length).await?;
-    let body_length = (u32::from_be_bytes(length) as usize).clamp(LENGTH_FIELD_BYTES, MAX_STARTUP_BYTES)
-        - LENGTH_FIELD_BYTES;
-    stream.read_exact(&mut vec![0; body_length]).await?;
-    if !fleet.transmit(router, host, Destination::Host, now(), true).await {
-        return Ok(false);
-    }
-    if is_full(fleet, host) {
-        stream.write_all(&error(TOO_MANY_CONNECTIONS)).await?;
-        return Ok(false);
+    async fn transmit(&self, destination: Destination) -> bool {
+        self.fleet.transmit(self.router, self.host, destination).await
     }
-    if !fleet.transmit(router, host, Destination::Router, now(), true).await {
-        return Ok(false);
-    }
-    let authenticated = message(message_type::AUTHENTICATION, AUTHENTICATION_OK);
-    let ready = ready_for_query(TransactionStatus::Idle);
-    stream.write_all(&[authenticated, ready].concat()).await?;
-    Ok(true)
-}
-
-fn is_full(fleet: &LiveFleet, host: usize) -> bool {
-    let limit = fleet.trial.max_connections_per_host;
-    limit > 0 && fleet.open_connections.borrow()[&host] > limit
-}
-
-/// A router's connection to a host, with a session.
-struct Connection {
-    fleet: SharedFleet,
-    host: usize,
-    router: usize,
-    link: HostLink,
-}
 
-impl Connection {
     async fn serve(&mut self) -> io::Result<()> {
-        while let ReceivedMessage { message: Message { kind: message_type::QUERY, body }, received_at } =
-            self.link.next_message().await?
-        {
-            let text = String::from_utf8_lossy(body.strip_suffix(b"\0").unwrap_or(&body)).into_owned();
-            // Queries without effect share the fate of the request that they are sent with.
-            let resettable = answer_without_effect(&text).is_none();
-            if !self.link.arrival(received_at, resettable).await || !is_reachable(&self.fleet, self.host) {
+        let _ = self.stream.get_ref().set_nodelay(true);
+        if !self.is_reachable() {
+            return Ok(());
+        }
+        self.fleet.ledger.borrow_mut().connections += 1;
+        if !self.start_session().await? {
+            return Ok(());
+        }
+        while let Message { kind: message_type::QUERY, body } = read_message(&mut self.stream).await? {
+            let received_at = now();
+            if !self.transmit(Destination::Host).await || !self.is_reachable() {
                 return Ok(());
             }
-            let Some(reply) = self.reply(&text, received_at).await else { return Ok(()) };
-            if !is_reachable(&self.fleet, self.host) {
+            let Some(reply) = self.reply(&body, received_at).await else { return Ok(()) };
+            if !self.is_reachable() || !self.transmit(Destination::Router).await {
                 return Ok(());
             }
-            self.link.reply(reply, resettable);
+            self.send_reply(reply).await?;
         }
         Ok(())
     }
 
-    /// Returns the reply to a query, including the role of the host and `ReadyForQuery`, or `None` if the
-    /// connection is to be closed.
-    async fn reply(&mut self, text: &str, received_at: Timestamp) -> Option<Vec<u8>> {
-        let answer = self.answer(text, received_at).await?;
-        let rank = if self.fleet.hosts.borrow()[self.host].primary { "source" } else { "copy" };
-        let rank = parameter_status("rank", rank);
+    /// Reads the startup message and accepts the connection. Returns `false` if it closes the connection
+    /// instead.
+    async fn start_session(&mut self) -> io::Result<bool> {
+        let mut length = [0; LENGTH_FIELD_BYTES];
+        self.stream.read_exact(&mut length).await?;
+        let body_length = (u32::from_be_bytes(length) as usize).clamp(LENGTH_FIELD_BYTES, MAX_STARTUP_BYTES)
+            - LENGTH_FIELD_BYTES;
+        self.stream.read_exact(&mut vec![0; body_length]).await?;
+        if !self.transmit(Destination::Host).await {
+            return Ok(false);
+        }
+        if self.is_full() {
+            self.stream.write_all(&error(TOO_MANY_CONNECTIONS)).await?;
+            return Ok(false);
+        }
+        if !self.transmit(Destination::Router).await {
+            return Ok(false);
+        }
+        let authenticated = message(message_type::AUTHENTICATION, AUTHENTICATION_OK);
         let ready = ready_for_query(TransactionStatus::Idle);
-        Some([answer, rank, ready].concat())
+        self.stream.write_all(&[authenticated, ready].concat()).await?;
+        Ok(true)
+    }
+
+    fn is_full(&self) -> bool {
+        let limit = self.fleet.trial.max_connections_per_host;
+        limit > 0 && self.fleet.open_connections.borrow()[&self.host] > limit
     }
 
     /// Returns the answer to a query, or `None` if the connection is to be closed.
-    async fn answer(&mut self, text: &str, received_at: Timestamp) -> Option<Vec<u8>> {
-        if let Some(answer) = answer_without_effect(text) {
+    async fn reply(&mut self, body: &[u8], received_at: Timestamp) -> Option<Vec<u8>> {
+        let text = String::from_utf8_lossy(body.strip_suffix(b"\0").unwrap_or(body)).into_owned();
+        if let Some(answer) = answer_without_effect(&text) {
             return Some(answer);
         }
-        match text {
+        match text.as_str() {
             HEALTH_CHECK_QUERY => {
                 self.fleet.ledger.borrow_mut().health_checks += 1;
                 Some(load_report(&self.fleet, self.host))
             }
             PING_QUERY => Some(one_row_answer(b"1")),
             _ => {
-                let Some(number) = request_number(text) else { return Some(error(PROTOCOL_VIOLATION)) };
+                let Some(number) = request_number(&text) else { return Some(error(PROTOCOL_VIOLATION)) };
                 let write = text.contains(WRITE_KEYWORD);
-                let forwarded_timeout = forwarded_timeout(text);
+                let forwarded_timeout = forwarded_timeout(&text);
                 self.execute(HostRequest { number, write, forwarded_timeout, received_at }).await
             }
         }
     }
 
+    /// Sends a reply, the role of the host, and `ReadyForQuery`.
+    async fn send_reply(&mut self, reply: Vec<u8>) -> io::Result<()> {
+        let rank = if self.fleet.hosts.borrow()[self.host].primary { "source" } else { "copy" };
+        let rank = parameter_status("rank", rank);
+        let ready = ready_for_query(TransactionStatus::Idle);
+        self.stream.write_all(&[reply, rank, ready].concat()).await
+    }
+
     /// Runs or rejects a request. Returns `None` if it is cancelled or the host is unreachable.
     async fn execute(&mut self, request: HostRequest) -> Option<Vec<u8>> {
         let HostRequest { number, write, received_at, .. } = request;
@@ -215,7 +209,7 @@
         self.fleet.ledger.borrow_mut().attempt_may_run(number);
         // Routers cancel an attempt by closing the connection.
         let cancelled = async {
-            self.link.wait_until_closed().await;
+            let _ = self.stream.read(&mut [0]).await;
             false
         };
         if future::or(async { finished.recv().await.is_ok() }, cancelled).await {
--- a/crates/comethitch-lab/src/live/mod.rs
+++ b/crates/comethitch-lab/src/live/mod.rs
@@ -16,7 +16,6 @@
 mod discovery;
 mod exchange;
 mod faults;
-mod host_link;
 mod hosts;
 mod idle_clients;
 mod incomplete_requests;
--- a/crates/comethitch-lab/src/live/state.rs
+++ b/crates/comethitch-lab/src/live/state.rs
@@ -1,6 +1,6 @@
 //! The state of a fleet of real processes, shared by all tasks of the thread that runs a trial.
 
-use super::network::{now, sleep, sleep_until};
+use super::network::{now, sleep};
 use super::process_table::RouterProcesses;
 use crate::hosts::{Job, SimulatedHost, StartedJob};
 use crate::ledger::{Ledger, Rule};
@@ -112,18 +112,15 @@
         (0..count).map(|_| candidates.swap_remove(rng.random_range(0..candidates.len()))).collect()
     }
 
-    /// Waits until a message that was sent at this time has passed its link. Returns `false` if the message is
-    /// lost and the connection is to be closed. Only a `resettable` message draws whether it is reset.
-    pub(super) async fn transmit(
-        &self, router: usize, host: usize, destination: Destination, sent_at: Timestamp, resettable: bool,
-    ) -> bool {
-        // A draw of 1 resets no connection.
-        let draw = if resettable { self.draw() } else { 1.0 };
+    /// Waits for the delay of a message on its link. Returns `false` if the message is lost and the
+    /// connection is to be closed.
+    pub(super) async fn transmit(&self, router: usize, host: usize, destination: Destination) -> bool {
+        let draw = self.draw();
         let outcome = || self.links.borrow().outcome(router, host, destination, draw);
         match outcome() {
             Outcome::Delivered(Duration::ZERO) => true,
             Outcome::Delivered(delay) => {
-                sleep_until(sent_at + delay).await;
+                sleep(delay).await;
                 true
             }
             Outcome::Reset => false,
--- a/crates/comethitchd/src/protocols/exchange.rs
+++ b/crates/comethitchd/src/protocols/exchange.rs
@@ -158,9 +158,6 @@
             }
             Err(error) if was_used => Err(error.clone()),
             // The response to the first message of a connection can't be that of another one.
-            Ok(()) if self.attempt.is_none() && !self.state.hosts.answers_barriers(self.host) => {
-                Ok(self.verify(protocol, connection).await)
-            }
             Ok(()) => Ok(Reuse::Possible),
             Err(_) => Ok(Reuse::Impossible),
         }
