--- a/crates/comethitch-policy/src/outcome.rs
+++ b/crates/comethitch-policy/src/outcome.rs
@@ -72,6 +72,8 @@
     /// idempotency, because the request itself causes errors, because the maximum number of attempts is
     /// reached, or because its deadline is too close.
     NotRetryable,
+    /// The router is shutting down, and the time for requests in progress is over.
+    ShuttingDown,
 }
 
 impl RejectionReason {
@@ -84,6 +86,7 @@
             RejectionReason::QueuedTooLong => "queued_too_long",
             RejectionReason::PrimaryLost => "primary_lost",
             RejectionReason::NotRetryable => "not_retryable",
+            RejectionReason::ShuttingDown => "shutting_down",
         }
     }
 }
--- a/crates/comethitch-policy/src/policy/router.rs
+++ b/crates/comethitch-policy/src/policy/router.rs
@@ -37,6 +37,8 @@
     /// The latest commit that each session has written. Only used if clients do not send it with their
     /// requests.
     pub(super) session_commits: SessionCommits,
+    /// Whether every request is rejected, because the router has been shut down.
+    pub(super) is_shut_down: bool,
 }
 
 /// Identifies a submitted request; later events of the request are reported through it.
@@ -70,6 +72,7 @@
             event_loop_lag: EventLoopLag::default(),
             host_clock: HostClock::default(),
             session_commits: SessionCommits::default(),
+            is_shut_down: false,
             settings: Settings::new(deployment),
         };
         router.watch_endpoints(actions);
@@ -86,6 +89,10 @@
             self.session_commits.latest(request.session)
         };
         self.requests.insert(request.id, RequestState::new(&request, required_position, now));
+        if self.is_shut_down {
+            self.reject(request.id, RejectionReason::ShuttingDown, actions);
+            return Handle(request.id);
+        }
         self.retry_budget.deposit();
         self.statistics.record_request(now);
         self.record_shard_request(request.shard_id, now);
@@ -113,10 +120,12 @@
         self.retry_queued_requests(actions);
     }
 
-    /// Rejects all requests that have no final answer yet, as the router shuts down.
+    /// Rejects all requests that have no final answer yet, and all that are submitted from now on: the process
+    /// is about to end, so no host could answer them in time.
     pub fn shut_down(&mut self, actions: &mut dyn Actions) {
+        self.is_shut_down = true;
         for id in self.requests.ids() {
-            self.reject(id, RejectionReason::DeadlineExceeded, actions);
+            self.reject(id, RejectionReason::ShuttingDown, actions);
         }
     }
 
--- a/crates/comethitch-policy/tests/scenario_runner/mod.rs
+++ b/crates/comethitch-policy/tests/scenario_runner/mod.rs
@@ -95,6 +95,7 @@
             ["check_send", attempt, expected] => self.check_send(attempt, *expected == "allowed")?,
             ["max_host_entries", max] => self.check_host_entries(notation::number(max))?,
             ["disconnect", id] => self.disconnect(notation::number(id))?,
+            ["shut_down"] => self.shut_down(),
             ["expect", pattern @ ..] => self.expect(pattern)?,
             ["expect_none", pattern @ ..] => self.expect_none(pattern)?,
             ["expect_at_most", max, pattern @ ..] => self.expect_at_most(notation::number(max), pattern)?,
@@ -223,6 +224,11 @@
         Ok(())
     }
 
+    fn shut_down(&mut self) {
+        let (router, recorded) = self.router();
+        router.shut_down(recorded);
+    }
+
     fn expect(&mut self, pattern: &[&str]) -> StepResult {
         let unmatched = &self.recorded.actions[self.actions_matched..];
         let found = unmatched.iter().position(|action| matches(action, pattern));
--- a/crates/comethitch-policy/tests/scenarios.rs
+++ b/crates/comethitch-policy/tests/scenarios.rs
@@ -29,6 +29,8 @@
 //!     Checks that at most this many host entries are allocated.
 //! disconnect 1
 //!     Reports that the client of the request 1 has disconnected.
+//! shut_down
+//!     Shuts the router down: the time for requests in progress is over.
 //! expect attempt 1 b|c
 //!     Expects an action after the one that the previous `expect` matched, or after the last `at`. The
 //!     pattern is compared with the first words of each action. A word may list alternatives, and `*` stands
