Requests that were read are answered before a connection or the process ends

Cause: the end of a connection and of the process were decided by durations and by the bytes of one read, not by what was still unanswered.

Change: - The process ends once no client that reads its answers awaits one, and not before the 0.15 s that it waited so far; otherwise it logs ended_without_answer. What arrives in the 50 ms before that crosses the close, as a client that sends without a pause would never be disconnected otherwise. - The wait for readiness and streamed answers end at the shutdown. A broken streamed answer ends with an error if requests were sent behind it, as its parts are whole messages; without any, the connection closes as before.

A first form of the test of the hung stream read its answer only after the shutdown had begun, and so delayed the router itself.

--- a/crates/comethitch-tds/src/packet/assembler.rs
+++ b/crates/comethitch-tds/src/packet/assembler.rs
@@ -97,6 +97,15 @@
         self.kind.is_none() && self.header.is_empty()
     }
 
+    /// Returns how many bytes the message's current packet lacks; while the packet's header is incomplete, how
+    /// many bytes the header lacks. The message may have further packets.
+    pub fn missing_packet_bytes(&self) -> usize {
+        if self.is_complete {
+            return 0;
+        }
+        if self.packet_remaining > 0 { self.packet_remaining } else { HEADER_BYTES - self.header.len() }
+    }
+
     /// Returns the type of the message, once its first header has arrived.
     pub fn kind(&self) -> Option<MessageKind> {
         self.kind
--- a/crates/comethitch-testkit/src/behavior.rs
+++ b/crates/comethitch-testkit/src/behavior.rs
@@ -35,6 +35,8 @@
     LargeAnswer,
     /// Sends three quarters of a [`HostBehavior::LargeAnswer`] and closes the connection.
     TruncateLargeAnswer,
+    /// Sends three quarters of a [`HostBehavior::LargeAnswer`] and nothing more.
+    HangInLargeAnswer,
     /// Answers with the key and leaves a transaction open on the connection.
     LeaveTransactionOpen,
     /// Answers with a row that has a column of every type. In a protocol that sends all columns as text,
--- a/crates/comethitch-testkit/src/client.rs
+++ b/crates/comethitch-testkit/src/client.rs
@@ -38,11 +38,7 @@
     ///
     /// Panics if the socket fails in any other way.
     pub fn send(&mut self, text: &str) {
-        let wire = match self.protocol {
-            Protocol::Postgres => postgres::query(text),
-            Protocol::Tds => tds::client::batch(text),
-        };
-        if let Err(error) = self.stream.write_all(&wire) {
+        if let Err(error) = self.stream.write_all(&self.protocol.encode_request(text)) {
             let is_closed = matches!(error.kind(), ErrorKind::BrokenPipe | ErrorKind::ConnectionReset);
             assert!(is_closed, "failed to send the request: {error}");
         }
--- a/crates/comethitch-testkit/src/connection.rs
+++ b/crates/comethitch-testkit/src/connection.rs
@@ -171,6 +171,11 @@
             let answer = protocol.large_answer(&key);
             send_and_close(protocol, &answer[..answer.len() / 4 * 3])
         }
+        HostBehavior::HangInLargeAnswer => {
+            let answer = protocol.large_answer(&key);
+            send(protocol, &answer[..answer.len() / 4 * 3])?;
+            wait_for_peer(protocol)
+        }
         HostBehavior::CloseBeforeExecution | HostBehavior::CloseAfterExecution => Ok(NextStep::Close),
         HostBehavior::HangBeforeExecution | HostBehavior::HangAfterExecution => wait_for_peer(protocol),
     }
--- a/crates/comethitch-testkit/src/protocol.rs
+++ b/crates/comethitch-testkit/src/protocol.rs
@@ -1,5 +1,6 @@
 //! The protocols of scripted hosts and clients, and the timeout of operations that wait for a peer.
 
+use crate::{postgres, tds};
 use std::time::Duration;
 
 /// Timeout of operations that wait for a peer. It expires only in a test that has already failed.
@@ -17,4 +18,12 @@
 impl Protocol {
     /// Both protocols, for tests that run once for each.
     pub const BOTH: [Protocol; 2] = [Protocol::Postgres, Protocol::Tds];
+
+    /// Encodes a request as a client sends it.
+    pub fn encode_request(self, text: &str) -> Vec<u8> {
+        match self {
+            Protocol::Postgres => postgres::query(text),
+            Protocol::Tds => tds::client::batch(text),
+        }
+    }
 }
--- a/crates/comethitchd/src/protocols/client_connection/mod.rs
+++ b/crates/comethitchd/src/protocols/client_connection/mod.rs
@@ -6,6 +6,7 @@
 mod waiting;
 
 pub(super) use disconnect::{ClosingError, Disconnect};
+pub(super) use waiting::AwaitedInput;
 
 use crate::stages::admit::{AdmissionError, AdmittedRequest, StatementError, StatementRequest, admit};
 use crate::stages::policy_driver;
@@ -15,7 +16,7 @@
 use crate::state::client_registry::ConnectionPhase;
 use crate::state::clock::after;
 use crate::state::descriptors::DescriptorPermit;
-use crate::state::pending_requests::{AnswerKind, Reply};
+use crate::state::pending_requests::{AnswerKind, Reply, ValuePart};
 use crate::state::router_state::RouterState;
 use crate::state::signals::{CloseRequest, ConnectionSignal};
 use crate::state::socket::Socket;
@@ -24,10 +25,12 @@
 use comethitch_policy::RequestId;
 use comethitch_policy::time::{Duration as PolicyDuration, Timestamp};
 use comethitch_statement::assign::Argument;
+use futures_lite::future::poll_once;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use std::cell::Cell;
 use std::io;
 use std::net::{IpAddr, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -59,8 +62,8 @@
     /// Whether a request was answered on this connection, so that it may be closed while idle.
     has_been_answered: bool,
     consecutive_invalid: u32,
-    /// Whether a close of the connection had already been requested when the last bytes were read.
-    closing_at_last_read: bool,
+    /// Time at which the last read left no input unread. `None` if no close had been requested by then.
+    all_read_while_closing_at: Option<Timestamp>,
 }
 
 /// The result of admitting a client's statement.
@@ -104,7 +107,7 @@
             _permit: permit,
             has_been_answered: false,
             consecutive_invalid: 0,
-            closing_at_last_read: false,
+            all_read_while_closing_at: None,
         }
     }
 
@@ -183,9 +186,13 @@
         self.arrived_at = self.arrivals.consume(length).unwrap_or(self.arrived_at);
     }
 
-    fn record_read(&mut self, length: usize) {
+    fn record_read(&mut self, length: usize, awaited: AwaitedInput) {
         self.arrivals.record_read(length, self.state.earliest_arrival());
-        self.closing_at_last_read = self.signal.close_requested() != CloseRequest::Never;
+        let is_closing = self.signal.close_requested() != CloseRequest::Never;
+        // The rest of a message is not necessarily all that has arrived.
+        if is_closing && awaited == AwaitedInput::Message && !self.buffer.is_full() {
+            self.all_read_while_closing_at = Some(self.state.clock.now());
+        }
     }
 
     /// Writes all bytes, within the longest timeout of any request class.
@@ -194,9 +201,25 @@
     /// If the connection breaks or the write times out.
     pub(super) async fn write(&self, bytes: &[u8]) -> Result<(), Disconnect> {
         let mut stream = &*self.stream;
+        let mut write = pin!(stream.write_all(bytes));
+        if let Some(result) = poll_once(write.as_mut()).await {
+            return Ok(result?);
+        }
+        let _blocked = self.state.clients.record_blocked_write(self.number);
         let timed_out = Err(io::ErrorKind::TimedOut.into());
         let timeout = self.state.config.longest_timeout().to_std();
-        Ok(stream.write_all(bytes).or(after(timeout, timed_out)).await?)
+        Ok(write.or(after(timeout, timed_out)).await?)
+    }
+
+    /// Waits for the next part of a streamed answer. Returns `None` if it will not arrive in full: the host
+    /// has failed, or the router is shut down.
+    pub(super) async fn next_part(&self, parts: &Receiver<ValuePart>) -> Option<ValuePart> {
+        let part = async { parts.recv().await.ok() };
+        let shut_down = async {
+            self.state.shut_down.wait().await;
+            None
+        };
+        part.or(shut_down).await
     }
 
     /// Closes the connection. `encode` returns the protocol's message for an error that is sent to the
--- a/crates/comethitchd/src/protocols/postgres/client.rs
+++ b/crates/comethitchd/src/protocols/postgres/client.rs
@@ -3,7 +3,7 @@
 //! Only the simple query protocol is supported; messages of the extended one are answered with an error.
 
 use crate::protocols::client_connection::{
-    Admission, ClientConnection, ClosingError, Disconnect, SubmittedRequest,
+    Admission, AwaitedInput, ClientConnection, ClosingError, Disconnect, SubmittedRequest,
 };
 use crate::stages::admit::{AdmittedRequest, session_statement_tag};
 use crate::stages::policy_driver;
@@ -74,7 +74,8 @@
         loop {
             let unread = self.connection.buffer.unread();
             let Some(StartupMessage { request, length }) = postgres::startup_message(unread)? else {
-                self.connection.wait_for_input().await?;
+                // No request can be part of this message, so nothing is lost if more than its rest is read.
+                self.connection.wait_for_input(awaited_after(unread.len(), usize::MAX)).await?;
                 continue;
             };
             match request {
@@ -119,8 +120,10 @@
 
     /// Handles the next message, or waits for more input if it is incomplete.
     async fn handle_message(&mut self) -> Result<(), Disconnect> {
-        let Some(message) = postgres::message(self.connection.buffer.unread())? else {
-            return self.connection.wait_for_input().await;
+        let unread = self.connection.buffer.unread();
+        let Some(message) = postgres::message(unread)? else {
+            let awaited = awaited_after(unread.len(), postgres::missing_bytes(unread));
+            return self.connection.wait_for_input(awaited).await;
         };
         let length = message.raw.len();
         let kind = message.kind;
@@ -172,9 +175,11 @@
     async fn handle_query(&mut self, text: Vec<u8>) -> Result<(), Disconnect> {
         let mut out = Vec::new();
         if is_empty_query(&text) {
-            let state = self.connection.state.clone();
-            self.connection.wait_while_connected(state.discovery.wait_until_ready()).await?;
-            postgres::put_empty_query(&mut out);
+            if self.connection.wait_until_ready().await? {
+                postgres::put_empty_query(&mut out);
+            } else {
+                put_reply(&mut out, Reply::Throttled(None));
+            }
         } else if let Some(tag) = session_statement_tag(&self.connection.state, &text) {
             postgres::put_command_complete(&mut out, tag);
         } else {
@@ -210,7 +215,15 @@
             Ok(Reply::Cancelled)
         };
         match self.connection.wait_while_connected(reply.recv().or(cancelled)).await {
-            Ok(Ok(Reply::Streaming(first, parts))) => self.stream_value(&first, &parts).await?,
+            Ok(Ok(Reply::Streaming(first, parts))) => {
+                let is_complete = self.stream_value(&first, &parts).await?;
+                // The requests that follow need the connection, so the client learns of the break by an error.
+                if !is_complete && self.connection.has_unhandled_input() {
+                    put_reply(out, Reply::Failed);
+                } else if !is_complete {
+                    return Err(Disconnect::BrokenAnswer);
+                }
+            }
             Ok(Ok(reply)) => {
                 if matches!(reply, Reply::Cancelled) {
                     policy_driver::abandon_request(&state, id);
@@ -226,23 +239,24 @@
         Ok(())
     }
 
-    /// Forwards a large value in parts.
-    ///
-    /// # Errors
-    /// [`Disconnect::BrokenAnswer`] if the end of the value does not arrive. The connection must then be
-    /// closed, which tells the client that the value is incomplete.
-    async fn stream_value(&self, first: &[u8], parts: &Receiver<ValuePart>) -> Result<(), Disconnect> {
+    /// Forwards a large value in parts, which consist of whole messages. Returns whether its end arrived.
+    async fn stream_value(&self, first: &[u8], parts: &Receiver<ValuePart>) -> Result<bool, Disconnect> {
         self.connection.write(first).await?;
-        while let Ok(part) = parts.recv().await {
+        while let Some(part) = self.connection.next_part(parts).await {
             match part {
                 ValuePart::Bytes(bytes) => self.connection.write(&bytes).await?,
-                ValuePart::End => return Ok(()),
+                ValuePart::End => return Ok(true),
             }
         }
-        Err(Disconnect::BrokenAnswer)
+        Ok(false)
     }
 }
 
+/// Returns the input to wait for after `unread_bytes` of the next message, whose rest has `max_bytes`.
+fn awaited_after(unread_bytes: usize, max_bytes: usize) -> AwaitedInput {
+    if unread_bytes == 0 { AwaitedInput::Message } else { AwaitedInput::Rest { max_bytes } }
+}
+
 fn is_empty_query(text: &[u8]) -> bool {
     text.iter().all(|b| b.is_ascii_whitespace() || *b == b';')
 }
--- a/crates/comethitchd/src/protocols/tds/client/login.rs
+++ b/crates/comethitchd/src/protocols/tds/client/login.rs
@@ -27,8 +27,9 @@
             return self.reject_login().await;
         }
         // No request can be served before the first endpoint list.
-        let state = self.connection.state.clone();
-        self.connection.wait_while_connected(state.discovery.wait_until_ready()).await?;
+        if !self.connection.wait_until_ready().await? {
+            return Err(Disconnect::Closing);
+        }
         let packet_size = self.negotiate_packet_size(&login);
         let tokens = self.login_answer(&login, packet_size);
         self.connection.write(&encode_packets(INITIAL_PACKET_BYTES, &tokens)).await?;
--- a/crates/comethitchd/src/protocols/tds/client/mod.rs
+++ b/crates/comethitchd/src/protocols/tds/client/mod.rs
@@ -10,7 +10,7 @@
 use super::prepared::PreparedStatements;
 use super::settings::TdsSettings;
 use crate::protocols::client_connection::{
-    Admission, ClientConnection, ClosingError, Disconnect, SubmittedRequest,
+    Admission, AwaitedInput, ClientConnection, ClosingError, Disconnect, SubmittedRequest,
 };
 use crate::stages::admit::AdmittedRequest;
 use crate::stages::policy_driver;
@@ -104,8 +104,12 @@
             if assembler.is_complete() {
                 break;
             }
-            // The connection counts as idle between messages, but not within one.
-            self.connection.wait_for_more(assembler.is_empty()).await?;
+            let awaited = if assembler.is_empty() {
+                AwaitedInput::Message
+            } else {
+                AwaitedInput::Rest { max_bytes: assembler.missing_packet_bytes() }
+            };
+            self.connection.wait_for_input(awaited).await?;
         }
         let kind = assembler.kind().unwrap_or(MessageKind::Batch);
         let status = assembler.status();
@@ -210,7 +214,13 @@
         let waited = self.connection.wait_until_interrupted(reply.recv(), Some(is_attention)).await;
         let end = match waited {
             Ok(Some(Ok(Reply::Streaming(first, parts)))) => {
-                self.stream_value(tokens, first, &parts, framing).await?;
+                let is_complete = self.stream_value(tokens, first, &parts, framing).await?;
+                // The requests that follow need the connection, so the client learns of the break by an error.
+                if !is_complete && self.connection.has_unhandled_input() {
+                    self.reply_encoder(framing, is_idempotent).put(tokens, Reply::Failed);
+                } else if !is_complete {
+                    return Err(Disconnect::BrokenAnswer);
+                }
                 OperationEnd::Answered
             }
             Ok(Some(Ok(reply))) => {
@@ -232,29 +242,26 @@
         Ok(end)
     }
 
-    /// Forwards a large value in parts. Its last token is left in `tokens`, because the handle of a prepared
-    /// statement may have to be inserted before it.
-    ///
-    /// # Errors
-    /// [`Disconnect::BrokenAnswer`] if the end of the value does not arrive. The connection must then be
-    /// closed, which tells the client that the value is incomplete.
+    /// Forwards a large value in parts, which consist of whole tokens. Its last token is left in `tokens`,
+    /// because the handle of a prepared statement may have to be inserted before it. Returns whether the end of
+    /// the value arrived.
     async fn stream_value(
         &mut self, tokens: &mut Vec<u8>, first: Vec<u8>, parts: &Receiver<ValuePart>, framing: ReplyFraming,
-    ) -> Result<(), Disconnect> {
+    ) -> Result<bool, Disconnect> {
         tokens.extend(first);
         loop {
             self.write_all_but_last_token(tokens).await?;
-            match parts.recv().await {
-                Ok(ValuePart::Bytes(bytes)) => tokens.extend(bytes),
-                Ok(ValuePart::End) => break,
-                Err(_) => return Err(Disconnect::BrokenAnswer),
+            match self.connection.next_part(parts).await {
+                Some(ValuePart::Bytes(bytes)) => tokens.extend(bytes),
+                Some(ValuePart::End) => break,
+                None => return Ok(false),
             }
         }
         if let ReplyFraming::CallReturningHandle(handle) = framing {
             let end = std::mem::take(tokens);
             reply::put_with_handle(tokens, &end, handle);
         }
-        Ok(())
+        Ok(true)
     }
 
     /// Writes all bytes of `tokens` except for the last [`DONE_TOKEN_BYTES`], without ending the message.
--- a/crates/comethitchd/src/state/buffer.rs
+++ b/crates/comethitchd/src/state/buffer.rs
@@ -42,27 +42,44 @@
         }
     }
 
-    /// Reads once, and returns the number of bytes read, which is 0 at the end of the stream. This is cancel
-    /// safe: dropping the future loses no data.
+    /// Returns whether the last read left no space free, so that the reader may have more bytes available.
+    pub fn is_full(&self) -> bool {
+        self.end == self.bytes.len()
+    }
+
+    /// Reads once, as much as fits; see [`Buffer::fill_up_to`].
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Buffer::fill_up_to`].
+    pub async fn fill(&mut self, reader: impl AsyncRead + Unpin) -> io::Result<usize> {
+        self.fill_up_to(reader, usize::MAX).await
+    }
+
+    /// Reads at most `max_bytes` once, and returns the number of bytes read, which is 0 at the end of the
+    /// stream. This is cancel safe: dropping the future loses no data.
     ///
     /// # Errors
     ///
     /// `OutOfMemory` if the memory budget is exhausted, `InvalidData` if the buffer is full at its maximum
     /// size, and the reader's own errors.
-    pub async fn fill(&mut self, mut reader: impl AsyncRead + Unpin) -> io::Result<usize> {
+    pub async fn fill_up_to(
+        &mut self, mut reader: impl AsyncRead + Unpin, max_bytes: usize,
+    ) -> io::Result<usize> {
         if self.free() < MIN_FREE_BYTES && self.start > 0 {
             self.compact();
         }
         if self.free() < MIN_FREE_BYTES {
             self.grow()?;
         }
-        if self.end == self.bytes.len() {
+        if self.is_full() {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidData,
                 "the message exceeds the maximum size of its buffer",
             ));
         }
-        let length = reader.read(&mut self.bytes[self.end..]).await?;
+        let space = self.free().min(max_bytes);
+        let length = reader.read(&mut self.bytes[self.end..self.end + space]).await?;
         self.end += length;
         Ok(length)
     }
--- a/crates/comethitchd/src/state/client_registry.rs
+++ b/crates/comethitchd/src/state/client_registry.rs
@@ -52,6 +52,8 @@
     phase: ConnectionPhase,
     since: Timestamp,
     signal: Rc<ConnectionSignal>,
+    /// Whether a write waits for the client to read.
+    write_blocked: bool,
 }
 
 /// The open connections, with an index that finds the next one to close without a scan.
@@ -167,8 +169,8 @@
         let signal = Rc::new(ConnectionSignal::new(cancel_key));
         let number = self.next_number.get();
         self.next_number.set(number.wrapping_add(1));
-        let connection =
-            OpenConnection { phase: ConnectionPhase::Reading, since: now, signal: signal.clone() };
+        let phase = ConnectionPhase::Reading;
+        let connection = OpenConnection { phase, since: now, signal: signal.clone(), write_blocked: false };
         self.open.borrow_mut().insert(number, connection);
         (number, signal)
     }
@@ -225,6 +227,29 @@
         connections.for_each(|connection| connection.signal.request_close(CloseRequest::WhenIdle));
     }
 
+    /// Records that a write on a connection waits for the client to read, until the returned guard is dropped.
+    pub fn record_blocked_write(&self, number: u32) -> BlockedWrite<'_> {
+        self.set_write_blocked(number, true);
+        BlockedWrite { registry: self, number }
+    }
+
+    fn set_write_blocked(&self, number: u32, write_blocked: bool) {
+        if let Some(connection) = self.open.borrow_mut().by_number.get_mut(&number) {
+            connection.write_blocked = write_blocked;
+        }
+    }
+
+    /// Returns the numbers of the connections with requests that were read and not answered yet, except those
+    /// whose clients do not read their answers. Visits all connections.
+    pub fn awaiting_answers(&self) -> Vec<u32> {
+        let open = self.open.borrow();
+        let awaits_answer = |connection: &OpenConnection| {
+            connection.phase == ConnectionPhase::Busy && !connection.write_blocked
+        };
+        let awaiting = open.by_number.iter().filter(|(_, connection)| awaits_answer(connection));
+        awaiting.map(|(number, _)| *number).collect()
+    }
+
     /// Returns the number of open connections.
     pub fn len(&self) -> usize {
         self.open.borrow().by_number.len()
@@ -236,6 +261,18 @@
     }
 }
 
+/// Marks a connection whose client does not read what was written to it.
+pub struct BlockedWrite<'a> {
+    registry: &'a ClientRegistry,
+    number: u32,
+}
+
+impl Drop for BlockedWrite<'_> {
+    fn drop(&mut self) {
+        self.registry.set_write_blocked(self.number, false);
+    }
+}
+
 /// Returns the connection to evict, or `None` if no connection may be evicted.
 ///
 /// The order is: connections that were sent an error, connections that have not sent a complete request
--- a/crates/comethitchd/src/state/router_state.rs
+++ b/crates/comethitchd/src/state/router_state.rs
@@ -11,6 +11,7 @@
 use crate::state::metrics::Metrics;
 use crate::state::pending_requests::PendingRequests;
 use crate::state::protocol::BackendProtocol;
+use crate::state::signals::OneShotEvent;
 use crate::state::statement_rules::StatementRules;
 use crate::state::step_times::EventLoopStep;
 use crate::state::transition_log::TransitionLog;
@@ -51,6 +52,8 @@
     pub(crate) statement_rules: StatementRules,
     /// Counters and step times for the log.
     pub(crate) metrics: Metrics,
+    /// Set once the policy was shut down: no request waits for a host any more.
+    pub(crate) shut_down: OneShotEvent,
     policy: RefCell<Router>,
     transitions: TransitionLog,
 }
@@ -77,6 +80,7 @@
             discovery: DiscoveryState::new(config.discovery, clock.now()),
             statement_rules: StatementRules::new(admission),
             metrics: Metrics::default(),
+            shut_down: OneShotEvent::default(),
             policy: RefCell::new(policy),
             transitions: TransitionLog::default(),
             config,
--- a/crates/comethitchd/src/wire/postgres/message.rs
+++ b/crates/comethitchd/src/wire/postgres/message.rs
@@ -104,6 +104,20 @@
     Ok(raw.map(|raw| Message { kind: raw[0], body: &raw[HEADER_BYTES..], raw }))
 }
 
+/// Returns how many bytes the first message in `bytes` lacks; while its header is incomplete, how many bytes
+/// the header lacks.
+///
+/// ```
+/// use comethitchd::wire::postgres::missing_bytes;
+/// assert_eq!(missing_bytes(b"Q\0\0"), 2);
+/// assert_eq!(missing_bytes(b"Q\0\0\0\x06a"), 1);
+/// assert_eq!(missing_bytes(b"Q\0\0\0\x06a\0"), 0);
+/// ```
+pub fn missing_bytes(bytes: &[u8]) -> usize {
+    let length = u32_at(bytes, LENGTH_OFFSET).map_or(HEADER_BYTES, |length| LENGTH_OFFSET + length as usize);
+    length.saturating_sub(bytes.len())
+}
+
 /// Returns the text in the body of a Query message, which must end with the body's only zero byte.
 ///
 /// # Errors
--- a/crates/comethitchd/src/wire/postgres/mod.rs
+++ b/crates/comethitchd/src/wire/postgres/mod.rs
@@ -11,7 +11,7 @@
 
 pub use barrier::{BarrierQuery, DISTINCT_BARRIERS};
 pub use message::{
-    CancelTarget, Message, StartupMessage, StartupRequest, cancel_target, message, query_text,
+    CancelTarget, Message, StartupMessage, StartupRequest, cancel_target, message, missing_bytes, query_text,
     startup_message,
 };
 pub use response::{HostParameters, HostResponse, MAX_RESPONSE_BYTES, ResponseError, ResponseShape};
--- a/crates/comethitchd/tests/eviction.rs
+++ b/crates/comethitchd/tests/eviction.rs
@@ -4,11 +4,12 @@
 
 mod support;
 
+use std::io::Write;
 use std::thread::sleep;
 use std::time::Duration;
 use support::{
-    ClientReply, PostgresClient, Router, ScriptedHost, answer, configuration_with_sockets, ready_primary,
-    write_request,
+    ClientReply, Daemon, PostgresClient, Router, ScriptedHost, answer, configuration_with_sockets, query,
+    ready_primary, write_request,
 };
 
 /// Descriptor limit that a test can reach.
@@ -84,3 +85,39 @@
     drop(idle);
     router.shut_down();
 }
+
+/// Guards against requests that are left in the socket of an evicted connection: they arrive in the very moment
+/// in which the router evicts it, and one read of the router ends exactly between two of them. The router is
+/// stopped while the requests are sent and another client connects.
+#[test]
+fn requests_that_arrive_at_an_eviction_are_answered() {
+    const REQUEST_BYTES: usize = 128;
+    let primary = ScriptedHost::primary(|_, _| answer("value"));
+    let config = configuration_with_sockets(&[ready_primary("p", primary.address)], DESCRIPTOR_LIMIT);
+    let daemon = Daemon::start("evicts", &config);
+    // So many that the router evicts a connection that has been idle for two seconds when it accepts one more.
+    let mut clients: Vec<PostgresClient> = (0..25)
+        .map(|id| {
+            let mut client = PostgresClient::connect(daemon.address);
+            assert_eq!(client.execute(&write_request(id, 5_000)), ClientReply::value("value"), "client {id}");
+            client
+        })
+        .collect();
+    let oldest = &mut clients[0];
+    let padded_write = |id: u32| {
+        let text = write_request(id, 5_000);
+        let padding = REQUEST_BYTES - query(&text).len();
+        query(&text.replacen("id=", &format!("id={}", "0".repeat(padding)), 1))
+    };
+    let requests: Vec<u8> = (100..132).flat_map(padded_write).collect();
+    daemon.signal("STOP");
+    oldest.stream.write_all(&requests).expect("the bytes are sent");
+    sleep(Duration::from_millis(2_100));
+    let _newest = PostgresClient::connect_without_startup(daemon.address);
+    daemon.signal("CONT");
+    for id in 100..132 {
+        assert_eq!(oldest.receive(), ClientReply::value("value"), "request {id}");
+    }
+    assert_eq!(oldest.receive(), ClientReply::Closed, "the connection must be evicted");
+    daemon.shut_down();
+}
--- a/crates/comethitchd/tests/support/configuration.rs
+++ b/crates/comethitchd/tests/support/configuration.rs
@@ -65,6 +65,15 @@
     config
 }
 
+/// Sets the timeout of all request classes, and their latency objective to the same time.
+pub(crate) fn set_class_timeouts(config: &mut Value, timeout_ms: u64) {
+    for class in config["settings"]["classes"].as_array_mut().expect("settings.classes is an array") {
+        for key in ["target_us", "deadline_us"] {
+            class[key] = (timeout_ms * 1_000).into();
+        }
+    }
+}
+
 /// Returns statement rules that reject a statement whose comment claims a weaker effect than the statement
 /// has, and that apply this timeout to statements without a comment.
 pub(crate) fn statement_rules(dialect: &str, timeout_ms: u32) -> Value {
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -33,7 +33,8 @@
 };
 pub(crate) use configuration::{
     SAMPLE_CONFIGURATION, configuration, configuration_with_discovery, configuration_with_sockets, endpoint,
-    ready_primary, ready_replica, single_primary_configuration, statement_rules, unreachable_address,
+    ready_primary, ready_replica, set_class_timeouts, single_primary_configuration, statement_rules,
+    unreachable_address,
 };
 pub(crate) use daemon::{Daemon, KillTimer};
 pub(crate) use discovery::{Discovery, read_http_request, send_chunk};
--- a/crates/comethitchd/tests/support/primary_and_replica.rs
+++ b/crates/comethitchd/tests/support/primary_and_replica.rs
@@ -19,11 +19,20 @@
 impl PrimaryAndReplica {
     /// Starts both hosts and a router with these statement rules.
     pub(crate) fn start(protocol: Protocol, rules: Value) -> PrimaryAndReplica {
+        PrimaryAndReplica::start_with(protocol, rules, |_| {})
+    }
+
+    /// Starts both hosts and a router with these statement rules, whose configuration `adjust` may change.
+    pub(crate) fn start_with(
+        protocol: Protocol, rules: Value, adjust: impl FnOnce(&mut Value),
+    ) -> PrimaryAndReplica {
         let ledger = Ledger::default();
         let primary = Host::start("p", protocol, true, &ledger);
         let replica = Host::start("r", protocol, false, &ledger);
         let hosts = [ready_primary("p", primary.address), ready_replica("r", replica.address)];
-        let router = Router::start_with_protocol(protocol, configuration(&hosts), Some(rules));
+        let mut config = configuration(&hosts);
+        adjust(&mut config);
+        let router = Router::start_with_protocol(protocol, config, Some(rules));
         PrimaryAndReplica { primary, replica, ledger, router }
     }
 }
