Planted fault for the check of answers at the end of the process

ended_without_answer had no test that trips it. A connection whose request is never answered delays the end by up to MAX_LAST_WRITES_TIME and is reported; one whose client does not read its answer does neither. Both run the end of the drain on a router without hosts.

--- a/crates/comethitchd/src/service/shutdown.rs
+++ b/crates/comethitchd/src/service/shutdown.rs
@@ -95,3 +95,6 @@
         state.record_violation("ended_without_answer", &format!("client {number}"), PolicyDuration::ZERO);
     }
 }
+
+#[cfg(test)]
+mod tests;
