Answers after the rejection of a shutdown are written together

Cause: once the policy is shut down, each request that was read behind others is answered at once, with a write of its own. Their number is not bounded, but SIGKILL may come 0.25 s after the rejection.

Change: while another complete message is in the buffer, the answer is kept back, up to 8 KiB, and written with the next; only after the rejection, so that nothing changes before. Whatever is kept is written before a wait for input and before a close.

--- a/crates/comethitchd/src/protocols/client_connection/mod.rs
+++ b/crates/comethitchd/src/protocols/client_connection/mod.rs
@@ -39,6 +39,8 @@
 const LINGER: Duration = Duration::from_millis(60);
 /// Number of consecutive invalid statements at which a client is disconnected.
 const MAX_CONSECUTIVE_INVALID: u32 = 8;
+/// Size at which answers that were kept back are written.
+const MAX_KEPT_OUTPUT_BYTES: usize = 8 * 1024;
 
 /// A client's connection.
 pub(super) struct ClientConnection {
@@ -51,6 +53,8 @@
     /// Signals that the connection must close, or that its request is cancelled.
     pub signal: Rc<ConnectionSignal>,
     stream: Rc<Socket>,
+    /// Answers that are not written yet, because answers to further requests follow at once.
+    kept_output: Vec<u8>,
     /// Whether a submitted request is unanswered.
     answer_outstanding: Cell<bool>,
     /// Identifies the client's machine, whose connections share one parsing budget.
@@ -100,6 +104,7 @@
             number,
             signal,
             stream,
+            kept_output: Vec::new(),
             answer_outstanding: Cell::new(false),
             client_machine,
             arrived_at,
@@ -195,6 +200,28 @@
         }
     }
 
+    /// Sends an answer. `more_was_read` states whether another complete message was read. If the router is
+    /// shut down, its answer will follow at once, and both are written together: the time for the last answers
+    /// is short, however many requests a client has sent behind each other.
+    ///
+    /// # Errors
+    /// Those of [`ClientConnection::write`].
+    pub(super) async fn send_answer(
+        &mut self, mut answer: Vec<u8>, more_was_read: bool,
+    ) -> Result<(), Disconnect> {
+        self.kept_output.append(&mut answer);
+        if more_was_read && self.state.shut_down.is_set() && self.kept_output.len() < MAX_KEPT_OUTPUT_BYTES {
+            return Ok(());
+        }
+        self.flush().await
+    }
+
+    /// Writes the answers that were kept back.
+    async fn flush(&mut self) -> Result<(), Disconnect> {
+        let output = std::mem::take(&mut self.kept_output);
+        if output.is_empty() { Ok(()) } else { self.write(&output).await }
+    }
+
     /// Writes all bytes, within the longest timeout of any request class.
     ///
     /// # Errors
@@ -226,6 +253,7 @@
     /// client.
     pub(super) async fn close(mut self, disconnect: Disconnect, encode: impl Fn(ClosingError) -> Vec<u8>) {
         self.verify_close(&disconnect);
+        let disconnect = self.flush().await.err().unwrap_or(disconnect);
         match disconnect {
             Disconnect::ProtocolViolation(message) => {
                 self.state.metrics.invalid_requests.increment();
--- a/crates/comethitchd/src/protocols/client_connection/waiting.rs
+++ b/crates/comethitchd/src/protocols/client_connection/waiting.rs
@@ -41,6 +41,7 @@
     /// If the connection ends before more input arrives. It ends between two messages only once all requests
     /// that were read are answered.
     pub(crate) async fn wait_for_input(&mut self, awaited: AwaitedInput) -> Result<(), Disconnect> {
+        self.flush().await?;
         let length = match awaited {
             AwaitedInput::Message => self.read_message_start().await?,
             AwaitedInput::Rest { max_bytes } => self.read_rest(max_bytes).await?,
--- a/crates/comethitchd/src/protocols/postgres/client.rs
+++ b/crates/comethitchd/src/protocols/postgres/client.rs
@@ -137,10 +137,12 @@
         }
         let reply = self.reply_to(kind)?;
         self.connection.consume(length);
-        if reply.is_empty() {
-            return Ok(());
-        }
-        self.connection.write(&reply).await
+        self.send_answer(reply).await
+    }
+
+    async fn send_answer(&mut self, answer: Vec<u8>) -> Result<(), Disconnect> {
+        let more_was_read = matches!(postgres::message(self.connection.buffer.unread()), Ok(Some(_)));
+        self.connection.send_answer(answer, more_was_read).await
     }
 
     /// Returns the reply to a message other than a query; empty if there is none.
@@ -186,7 +188,7 @@
             self.run_statement(text, &mut out).await?;
         }
         postgres::put_ready_for_query(&mut out);
-        self.connection.write(&out).await
+        self.send_answer(out).await
     }
 
     /// Runs a statement as a request if it is admitted, and appends the answer to `out`.
--- a/crates/comethitchd/src/protocols/tds/client/mod.rs
+++ b/crates/comethitchd/src/protocols/tds/client/mod.rs
@@ -21,7 +21,8 @@
 use async_channel::Receiver;
 use async_io::Async;
 use comethitch_tds::packet::{
-    HEADER_BYTES, INITIAL_PACKET_BYTES, MAX_PACKET_BYTES, MessageAssembler, MessageKind, put_packets, status,
+    HEADER_BYTES, Header, INITIAL_PACKET_BYTES, MAX_PACKET_BYTES, MessageAssembler, MessageKind, put_packets,
+    status,
 };
 use comethitch_tds::token::code;
 use comethitch_tds::write::put_env_change_bytes;
@@ -149,7 +150,11 @@
             put_env_change_bytes(&mut tokens, env_change_type::SESSION_RESET, &[], &[]);
         }
         match self.perform(operation, &mut tokens).await? {
-            OperationEnd::Answered => self.write_tokens(&tokens).await,
+            OperationEnd::Answered => {
+                let answer = reply::encode_packets(self.packet_size, &tokens);
+                let more_was_read = starts_with_packet(self.connection.buffer.unread());
+                self.connection.send_answer(answer, more_was_read).await
+            }
             OperationEnd::Cancelled => self.acknowledge_attention().await,
         }
     }
@@ -276,3 +281,8 @@
         self.connection.write(&packets).await
     }
 }
+
+/// Returns whether the bytes start with a complete packet.
+fn starts_with_packet(bytes: &[u8]) -> bool {
+    Header::read(bytes).is_ok_and(|header| header.length <= bytes.len())
+}
