--- a/crates/comethitchd/src/protocols/client_connection/mod.rs
+++ b/crates/comethitchd/src/protocols/client_connection/mod.rs
@@ -1,8 +1,11 @@
-//! A client's connection in any protocol: registers it, admits its statements, writes to it, and closes it.
+//! A client's connection in any protocol: registers it, and admits its statements.
 //!
-//! [`waiting`] waits for input and for the end of a request; [`disconnect`] lists the reasons for closing.
+//! [`waiting`] waits for input and for the end of a request, [`output`] writes, [`closing`] closes the
+//! connection, and [`disconnect`] lists the reasons for that.
 
+mod closing;
 mod disconnect;
+mod output;
 mod waiting;
 
 pub(super) use disconnect::{ClosingError, Disconnect};
@@ -14,33 +17,22 @@
 use crate::state::arrivals::Arrivals;
 use crate::state::buffer::Buffer;
 use crate::state::client_registry::ConnectionPhase;
-use crate::state::clock::after;
 use crate::state::descriptors::DescriptorPermit;
-use crate::state::pending_requests::{AnswerKind, Reply, ValuePart};
+use crate::state::pending_requests::{AnswerKind, Reply};
 use crate::state::router_state::RouterState;
 use crate::state::signals::{CloseRequest, ConnectionSignal};
 use crate::state::socket::Socket;
 use async_channel::Receiver;
 use async_io::Async;
 use comethitch_policy::RequestId;
-use comethitch_policy::time::{Duration as PolicyDuration, Timestamp};
+use comethitch_policy::time::Timestamp;
 use comethitch_statement::assign::Argument;
-use futures_lite::future::poll_once;
-use futures_lite::{AsyncWriteExt, FutureExt};
 use std::cell::Cell;
-use std::io;
 use std::net::{IpAddr, TcpStream};
-use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
-/// How long input is still read and discarded once the connection must close. Closing with unread input would
-/// reset the connection, and the client could lose the last answer.
-const LINGER: Duration = Duration::from_millis(60);
 /// Number of consecutive invalid statements at which a client is disconnected.
 const MAX_CONSECUTIVE_INVALID: u32 = 8;
-/// Size at which answers that were kept back are written.
-const MAX_KEPT_OUTPUT_BYTES: usize = 8 * 1024;
 
 /// A client's connection.
 pub(super) struct ClientConnection {
@@ -199,122 +191,6 @@
             self.all_read_while_closing_at = Some(self.state.clock.now());
         }
     }
-
-    /// Sends an answer. `more_was_read` states whether another complete message was read. If the router is
-    /// shut down, its answer will follow at once, and both are written together: the time for the last answers
-    /// is short, however many requests a client has sent behind each other.
-    ///
-    /// # Errors
-    /// Those of [`ClientConnection::write`].
-    pub(super) async fn send_answer(
-        &mut self, mut answer: Vec<u8>, more_was_read: bool,
-    ) -> Result<(), Disconnect> {
-        self.kept_output.append(&mut answer);
-        if more_was_read && self.state.shut_down.is_set() && self.kept_output.len() < MAX_KEPT_OUTPUT_BYTES {
-            return Ok(());
-        }
-        self.flush().await
-    }
-
-    /// Writes the answers that were kept back.
-    async fn flush(&mut self) -> Result<(), Disconnect> {
-        let output = std::mem::take(&mut self.kept_output);
-        if output.is_empty() { Ok(()) } else { self.write(&output).await }
-    }
-
-    /// Writes all bytes, within the longest timeout of any request class.
-    ///
-    /// # Errors
-    /// If the connection breaks or the write times out.
-    pub(super) async fn write(&self, bytes: &[u8]) -> Result<(), Disconnect> {
-        let mut stream = &*self.stream;
-        let mut write = pin!(stream.write_all(bytes));
-        if let Some(result) = poll_once(write.as_mut()).await {
-            return Ok(result?);
-        }
-        let _blocked = self.state.clients.record_blocked_write(self.number);
-        let timed_out = Err(io::ErrorKind::TimedOut.into());
-        let timeout = self.state.config.longest_timeout().to_std();
-        Ok(write.or(after(timeout, timed_out)).await?)
-    }
-
-    /// Waits for the next part of a streamed answer. Returns `None` if it will not arrive in full: the host
-    /// has failed, or the router is shut down.
-    pub(super) async fn next_part(&self, parts: &Receiver<ValuePart>) -> Option<ValuePart> {
-        let part = async { parts.recv().await.ok() };
-        let shut_down = async {
-            self.state.shut_down.wait().await;
-            None
-        };
-        part.or(shut_down).await
-    }
-
-    /// Closes the connection. `encode` returns the protocol's message for an error that is sent to the
-    /// client.
-    pub(super) async fn close(mut self, disconnect: Disconnect, encode: impl Fn(ClosingError) -> Vec<u8>) {
-        self.verify_close(&disconnect);
-        let disconnect = self.flush().await.err().unwrap_or(disconnect);
-        match disconnect {
-            Disconnect::ProtocolViolation(message) => {
-                self.state.metrics.invalid_requests.increment();
-                let error = ClosingError::ProtocolViolation(message);
-                self.close_gracefully(encode(error), &error.to_string()).await;
-            }
-            Disconnect::Io(error) if error.kind() == io::ErrorKind::OutOfMemory => {
-                self.state.metrics.throttled_at_limit.increment();
-                let error = ClosingError::OutOfMemory;
-                self.close_gracefully(encode(error), &error.to_string()).await;
-            }
-            Disconnect::Io(error) => {
-                log::debug!(client = self.number, error:%; "client connection failed");
-            }
-            // No error is sent: the client sees the end of the stream, and retries the requests that it sends
-            // too late.
-            Disconnect::Closing | Disconnect::BrokenAnswer => {
-                self.close_gracefully(Vec::new(), &disconnect.to_string()).await;
-            }
-            Disconnect::ClientGone => {}
-        }
-        self.state.clients.unregister(self.number);
-    }
-
-    /// Records a violation if the router closes the connection while a request is unanswered. A streamed
-    /// answer is exempt, because the client can tell that it is incomplete.
-    fn verify_close(&self, disconnect: &Disconnect) {
-        let closed_by_router = match disconnect {
-            Disconnect::ProtocolViolation(_) | Disconnect::Closing => true,
-            Disconnect::Io(error) => error.kind() == io::ErrorKind::OutOfMemory,
-            Disconnect::ClientGone | Disconnect::BrokenAnswer => false,
-        };
-        if closed_by_router && self.answer_outstanding.get() {
-            let subject = format!("client {}", self.number);
-            self.state.record_violation("closed_without_answer", &subject, PolicyDuration::ZERO);
-        }
-    }
-
-    /// Writes the last bytes, if any, shuts down the sending half, and discards further input until the
-    /// client closes the connection, or until [`LINGER`] has passed since the registry of clients requested
-    /// an immediate close.
-    async fn close_gracefully(&mut self, last_bytes: Vec<u8>, reason: &str) {
-        log::debug!(client = self.number, reason; "client connection closing");
-        self.set_phase(ConnectionPhase::Closing);
-        let signal = self.signal.clone();
-        let linger = async {
-            signal.wait_for_close(CloseRequest::Now).await;
-            after(LINGER, None::<()>).await
-        };
-        self.send_and_discard(&last_bytes).or(linger).await;
-    }
-
-    /// Writes the last bytes, and discards input up to the end of the stream. Always returns `None`; the type
-    /// lets `?` end the function if the connection breaks.
-    async fn send_and_discard(&mut self, last_bytes: &[u8]) -> Option<()> {
-        self.write(last_bytes).await.ok()?;
-        self.stream.shut_down_write().ok()?;
-        self.consume(self.buffer.unread().len());
-        while self.stream.read_into(self.state.clients.discard_buffer()).await.ok()? > 0 {}
-        None
-    }
 }
 
 /// Returns a number that identifies the client's machine: its IPv4 address, or the /64 network of its IPv6
