On TDS an acknowledged attention does not overtake answers kept back at a shutdown

Cause: since answers after the rejection of a shutdown are written together, an answer may be kept back while another complete message is in the buffer. The acknowledgement of an attention was written past it, so a client would have taken it for the answer to an earlier request.

Change: all answers to messages go through send_tokens, which keeps their order.

Also two comments: a broken streamed answer does not always close its connection, and a plainer sentence in a test.

--- a/crates/comethitchd/src/protocols/client_connection/output.rs
+++ b/crates/comethitchd/src/protocols/client_connection/output.rs
@@ -35,7 +35,8 @@
         if output.is_empty() { Ok(()) } else { self.write(&output).await }
     }
 
-    /// Writes all bytes, within the longest timeout of any request class.
+    /// Writes all bytes, within the longest timeout of any request class. Answers that were kept back must be
+    /// written before, so answers to requests are sent by [`ClientConnection::send_answer`].
     ///
     /// # Errors
     /// If the connection breaks or the write times out.
--- a/crates/comethitchd/src/protocols/streamed_answer.rs
+++ b/crates/comethitchd/src/protocols/streamed_answer.rs
@@ -4,7 +4,7 @@
 //!
 //! The first part commits the request to this attempt: the policy is notified that the request was answered,
 //! and no other attempt is sent. If the host fails before the end of the answer, the client's connection is
-//! closed.
+//! closed; if requests were sent behind it, the answer ends with an error instead.
 
 use crate::stages::{policy_driver, reply};
 use crate::state::host_connection::ConnectionError;
--- a/crates/comethitchd/src/protocols/tds/client/mod.rs
+++ b/crates/comethitchd/src/protocols/tds/client/mod.rs
@@ -117,8 +117,11 @@
         Ok(ClientMessage { kind, status, payload: assembler.finish() })
     }
 
-    async fn write_tokens(&self, tokens: &[u8]) -> Result<(), Disconnect> {
-        self.connection.write(&reply::encode_packets(self.packet_size, tokens)).await
+    /// Sends the answer to a message, after those to earlier messages.
+    async fn send_tokens(&mut self, tokens: &[u8]) -> Result<(), Disconnect> {
+        let answer = reply::encode_packets(self.packet_size, tokens);
+        let more_was_read = starts_with_packet(self.connection.buffer.unread());
+        self.connection.send_answer(answer, more_was_read).await
     }
 
     async fn serve_messages(&mut self) -> Disconnect {
@@ -150,11 +153,7 @@
             put_env_change_bytes(&mut tokens, env_change_type::SESSION_RESET, &[], &[]);
         }
         match self.perform(operation, &mut tokens).await? {
-            OperationEnd::Answered => {
-                let answer = reply::encode_packets(self.packet_size, &tokens);
-                let more_was_read = starts_with_packet(self.connection.buffer.unread());
-                self.connection.send_answer(answer, more_was_read).await
-            }
+            OperationEnd::Answered => self.send_tokens(&tokens).await,
             OperationEnd::Cancelled => self.acknowledge_attention().await,
         }
     }
@@ -175,7 +174,7 @@
     async fn acknowledge_attention(&mut self) -> Result<(), Disconnect> {
         let mut tokens = Vec::new();
         reply::put_attention_acknowledgement(&mut tokens);
-        self.write_tokens(&tokens).await
+        self.send_tokens(&tokens).await
     }
 
     fn reject(
--- a/crates/comethitchd/tests/answers_before_close.rs
+++ b/crates/comethitchd/tests/answers_before_close.rs
@@ -8,6 +8,7 @@
 
 use comethitch_testkit::ledger::Entry;
 use comethitch_testkit::postgres::query;
+use comethitch_testkit::tds::attention;
 use comethitch_testkit::{Client, HostBehavior, Protocol, Reply, request_key};
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -259,6 +260,22 @@
     }
 }
 
+/// Guards against the acknowledgement of an attention that overtakes answers which are written together at the
+/// end of a shutdown: the client would take it for the answer to an earlier request.
+#[test]
+fn attention_behind_rejected_requests_is_acknowledged_last() {
+    let mut fixture = Fixture::start(Protocol::Tds, HostBehavior::HangBeforeExecution);
+    let mut client = fixture.connect();
+    let wire = [encode(Protocol::Tds, &["a", "b"].map(write)), attention()].concat();
+    client.stream.write_all(&wire).expect("the bytes are sent");
+    fixture.wait_for_arrival(&write("a"));
+    let began = fixture.begin_shutdown();
+    assert!(matches!(client.receive(), Reply::Failed(_)), "it may have been executed");
+    assert_eq!([client.receive(), client.receive()], [Reply::Throttled, Reply::Cancelled]);
+    assert_eq!(client.receive(), Reply::Closed);
+    fixture.wait_for_end(began);
+}
+
 /// Guards against an empty query, and requests behind it, that wait for the endpoint list of an unresponsive
 /// discovery service until the process ends.
 #[test]
--- a/crates/comethitchd/tests/eviction.rs
+++ b/crates/comethitchd/tests/eviction.rs
@@ -95,7 +95,7 @@
     let primary = ScriptedHost::primary(|_, _| answer("value"));
     let config = configuration_with_sockets(&[ready_primary("p", primary.address)], DESCRIPTOR_LIMIT);
     let daemon = Daemon::start("evicts", &config);
-    // So many that the router evicts a connection that has been idle for two seconds when it accepts one more.
+    // With this number, accepting one more connection evicts one that has been idle for two seconds.
     let mut clients: Vec<PostgresClient> = (0..25)
         .map(|id| {
             let mut client = PostgresClient::connect(daemon.address);
