Review case 7: an answer that never ends keeps the router from serving anybody

Cause: reading a host's answer never returns to the executor while bytes keep on coming, so not even its timeout ends it. Change: the case.

--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,3 +1,4 @@
+mod endless;
 mod flood;
 
 use crate::{Setting, Verdict};
@@ -5,6 +6,7 @@
 
 pub fn run(name: &str, setting: &Setting<'_>) -> io::Result<Verdict> {
     match name {
+        "endless" => endless::run(setting),
         "flood" => flood::run(setting),
         _ => Err(io::Error::other(format!("no case {name}"))),
     }
