Review case 8: a stale read after an answer has told of the lost role

Cause: the role in an answer on a reused connection is used only once the barrier behind it is answered. Change: the case.

--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 mod endless;
 mod flood;
+mod told;
 
 use crate::{Setting, Verdict};
 use std::io;
@@ -8,6 +9,7 @@
     match name {
         "endless" => endless::run(setting),
         "flood" => flood::run(setting),
+        "told" => told::run(setting),
         _ => Err(io::Error::other(format!("no case {name}"))),
     }
 }
