--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -1,3 +1,4 @@
+mod cancelled;
 mod endless;
 mod flood;
 mod told;
@@ -7,6 +8,7 @@
 
 pub fn run(name: &str, setting: &Setting<'_>) -> io::Result<Verdict> {
     match name {
+        "cancelled" => cancelled::run(setting),
         "endless" => endless::run(setting),
         "flood" => flood::run(setting),
         "told" => told::run(setting),
