--- a/review/standins-2/src/router.rs
+++ b/review/standins-2/src/router.rs
@@ -129,7 +129,6 @@
         let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
     }
 
-
     pub fn log(&self) -> String {
         fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
