--- a/review/standins-2/src/cases/endless.rs
+++ b/review/standins-2/src/cases/endless.rs
@@ -11,10 +11,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-/// How long the endless answer goes on if nobody ends its connection.
-const ENDLESS_FOR: Duration = Duration::from_secs(10);
+/// How long an endless answer goes on if nobody ends its connection.
+const ENDLESS_FOR: Duration = Duration::from_secs(4);
+/// Endless answers, one after the other, and the time from one to the next.
+const ENDLESS_ANSWERS: usize = 5;
+const PERIOD: Duration = Duration::from_secs(6);
 /// How long the clients send.
-const CLIENTS_FOR: Duration = Duration::from_secs(15);
+const CLIENTS_FOR: Duration = Duration::from_secs(35);
 const CLIENTS: usize = 6;
 /// A request counts as lost half a second after its time, and the limits on sockets are longer by 50 ms.
 const LOST_AFTER_MS: f64 = 550.0;
@@ -73,7 +76,10 @@
         }));
     }
     std::thread::sleep(Duration::from_secs(3));
-    armed.store(setting.trouble, Ordering::SeqCst);
+    for _ in 0..ENDLESS_ANSWERS {
+        armed.store(setting.trouble, Ordering::SeqCst);
+        std::thread::sleep(PERIOD);
+    }
     for thread in threads {
         let _ = thread.join();
     }
