Review: what a case has started ends with it, however the case ends

Cause: a script that was ended by a signal left its router running, and the router's folder. Change: a guard process that the case tells each id, and that ends what is left by id once the case is over.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod client;
 mod discovery;
+mod guard;
 mod host;
 mod record;
 mod router;
@@ -34,6 +35,9 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
+    if arguments.get(1).is_some_and(|argument| argument == "guard") {
+        return guard::run();
+    }
     let [_, name, root, folder] = &arguments[..] else {
         eprintln!("usage: case NAME ROOT FOLDER");
         exit(2);
@@ -47,9 +51,13 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let setting = Setting { root: Path::new(root), record: record.clone(), trouble };
+    if let Err(error) = guard::start() {
+        record.say(format!("the guard: {error}"));
+        exit(2);
+    }
     std::thread::spawn(|| {
         std::thread::sleep(TIME_LIMIT);
-        router::end_all();
+        guard::finish();
         eprintln!("the case took too long");
         exit(2);
     });
@@ -70,5 +78,6 @@
         }
     };
     record.flush();
+    guard::finish();
     exit(code);
 }
--- a/review/standins-2/src/router.rs
+++ b/review/standins-2/src/router.rs
@@ -1,12 +1,12 @@
 //! A router: a process started with the command of the deploy file.
 
 use crate::discovery::Discovery;
+use crate::guard;
 use std::fs;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
 
 /// The settings that differ between cases.
 pub struct Options {
@@ -89,16 +89,6 @@
     "fall_multiple": 2.0, "fall_us": 1500000, "must_ask_in_us": 10000000}
 }"#;
 
-/// The processes that were started, for the time limit of the case.
-static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
-
-/// Ends all processes that were started.
-pub fn end_all() {
-    for pid in STARTED.lock().unwrap().iter() {
-        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {pid}")]).status();
-    }
-}
-
 /// The command `run` of the deploy file.
 fn run_command(root: &Path) -> io::Result<String> {
     let file = fs::read_to_string(root.join("deploy/balancer.toml"))?;
@@ -143,7 +133,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        STARTED.lock().unwrap().push(child.id());
+        guard::started(child.id(), &folder.to_string_lossy());
         Ok(Router { address, child, folder })
     }
 
@@ -164,7 +154,7 @@
         }
         let _ = self.child.kill();
         let _ = self.child.wait();
-        STARTED.lock().unwrap().retain(|pid| *pid != self.child.id());
         let _ = fs::remove_dir_all(&self.folder);
+        guard::ended(self.child.id());
     }
 }
