A peer that is always ready no longer keeps the router's one thread

Cause: a read from a socket that has bytes, and a write to one that is read, are ready at once. A loop around them never returns to the executor, so all tasks and timers of the thread wait for the peer. `exchange.or(timeout)` polls its timeout only when the exchange is pending.

Change: each poll of a task has a budget of 32 operations, of which every read takes one for each 8 KiB (state/task_budget.rs). Once it is spent, reads are pending and the task is polled again behind the others. Loops that handle what was read before take from it too. The executor returns to the reactor after 1 ms (state/task_executor.rs); async-executor's own loop does after 200 polls of tasks. Writes are charged and never delayed: a pending write counts as one that the client does not read, which a shutdown does not wait for.

A timeout does not win over bytes that are there: after a stall, an answer that came in time is still used. It is now polled after at most one budget.

Budget and 1 ms are chosen.

--- a/crates/comethitch-testkit/src/tds/mod.rs
+++ b/crates/comethitch-testkit/src/tds/mod.rs
@@ -21,6 +21,11 @@
     encode(MessageKind::Attention, INITIAL_PACKET_BYTES, b"")
 }
 
+/// Encodes a batch of statements.
+pub fn batch(text: &str) -> Vec<u8> {
+    client::batch(text)
+}
+
 /// Encodes an RPC request with this payload.
 pub fn rpc_request(payload: &[u8]) -> Vec<u8> {
     encode(MessageKind::Rpc, CLIENT_PACKET_BYTES, payload)
--- a/crates/comethitchd/src/protocols/postgres/client.rs
+++ b/crates/comethitchd/src/protocols/postgres/client.rs
@@ -10,6 +10,7 @@
 use crate::state::descriptors::DescriptorPermit;
 use crate::state::pending_requests::{Reply, ValuePart};
 use crate::state::router_state::RouterState;
+use crate::state::task_budget;
 use crate::wire::postgres::message_type::frontend;
 use crate::wire::postgres::{self, ErrorFields, MAX_MESSAGE_BYTES, StartupMessage, StartupRequest};
 use async_channel::Receiver;
@@ -112,6 +113,7 @@
 
     async fn serve_messages(&mut self) -> Disconnect {
         loop {
+            task_budget::operation().await;
             if let Err(disconnect) = self.handle_message().await {
                 return disconnect;
             }
--- a/crates/comethitchd/src/protocols/tds/client/mod.rs
+++ b/crates/comethitchd/src/protocols/tds/client/mod.rs
@@ -18,6 +18,7 @@
 use crate::state::memory_budget::Reservation;
 use crate::state::pending_requests::{Reply, ValuePart};
 use crate::state::router_state::RouterState;
+use crate::state::task_budget;
 use async_channel::Receiver;
 use async_io::Async;
 use comethitch_tds::packet::{
@@ -126,6 +127,7 @@
 
     async fn serve_messages(&mut self) -> Disconnect {
         loop {
+            task_budget::operation().await;
             if let Err(disconnect) = self.handle_message().await {
                 return disconnect;
             }
--- a/crates/comethitchd/src/service/accept_loop.rs
+++ b/crates/comethitchd/src/service/accept_loop.rs
@@ -2,6 +2,7 @@
 
 use crate::state::protocol::ClientProtocol;
 use crate::state::router_state::RouterState;
+use crate::state::task_budget;
 use async_io::{Async, Timer};
 use std::future::{Future, poll_fn};
 use std::net::TcpListener;
@@ -33,6 +34,7 @@
 ) {
     let mut consecutive_failures = 0;
     loop {
+        task_budget::operation().await;
         let Some(permit) = state.clients.acquire_descriptor(state.clock.now()) else {
             // An idle connection may still send a request, so it is closed only when another client waits to
             // be accepted.
--- a/crates/comethitchd/src/service/discovery_client.rs
+++ b/crates/comethitchd/src/service/discovery_client.rs
@@ -6,6 +6,7 @@
 use crate::state::discovery_state::MIN_RESPONSE_TIMEOUT;
 use crate::state::memory_budget::MemoryBudget;
 use crate::state::socket::Socket;
+use crate::state::task_budget;
 use crate::wire::MalformedMessage;
 use crate::wire::discovery::EndpointListError;
 use crate::wire::http::{self, BodyDecoder, ResponseHead};
@@ -108,6 +109,8 @@
     ///
     /// If the connection fails, or the response is malformed or incomplete.
     pub(crate) async fn next_item(&mut self) -> Result<Option<JsonStreamItem>, DiscoveryError> {
+        // One read may bring thousands of items.
+        task_budget::operation().await;
         loop {
             if let Some(item) = self.objects.next_item()? {
                 return Ok(Some(item));
--- a/crates/comethitchd/src/state/mod.rs
+++ b/crates/comethitchd/src/state/mod.rs
@@ -28,4 +28,6 @@
 pub mod stall_detector;
 pub mod statement_rules;
 pub mod step_times;
+pub mod task_budget;
+pub mod task_executor;
 pub mod transition_log;
--- a/crates/comethitchd/src/state/router_state.rs
+++ b/crates/comethitchd/src/state/router_state.rs
@@ -14,8 +14,8 @@
 use crate::state::signals::OneShotEvent;
 use crate::state::statement_rules::StatementRules;
 use crate::state::step_times::EventLoopStep;
+use crate::state::task_executor::TaskExecutor;
 use crate::state::transition_log::TransitionLog;
-use async_executor::LocalExecutor;
 use comethitch_policy::time::{Duration, Timestamp};
 use comethitch_policy::{ActionQueue, AttemptOutcome, Host, Role, Router};
 use std::cell::{Ref, RefCell};
@@ -35,7 +35,7 @@
     /// The clock, which also observes the event loop.
     pub(crate) clock: EventLoopClock,
     /// The executor of all other tasks. The serving task runs it.
-    pub(crate) tasks: LocalExecutor<'static>,
+    pub(crate) tasks: TaskExecutor,
     /// The protocol spoken with hosts.
     pub(crate) backend: Box<dyn BackendProtocol<RouterState>>,
     /// Requests in progress.
@@ -71,7 +71,7 @@
         let descriptors = divide_descriptors(config.max_descriptors);
         Ok(Rc::new(RouterState {
             clock: EventLoopClock::new(clock),
-            tasks: LocalExecutor::new(),
+            tasks: TaskExecutor::default(),
             backend,
             requests: PendingRequests::default(),
             hosts: Hosts::new(config.host_idle_timeout, descriptors.hosts),
--- a/crates/comethitchd/src/state/socket.rs
+++ b/crates/comethitchd/src/state/socket.rs
@@ -5,6 +5,7 @@
 //! short when a connection is opened. Such errors are not caused by the peer, so they are retried here before
 //! they are returned.
 
+use super::task_budget;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -168,6 +169,7 @@
     /// The connection's own error.
     pub async fn read_into(&self, buffer: &RefCell<Vec<u8>>) -> io::Result<usize> {
         loop {
+            task_budget::operation().await;
             self.stream.readable().await?;
             match retry_interrupted(|| self.stream.get_ref().read(&mut buffer.borrow_mut())) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
@@ -219,7 +221,9 @@
     fn poll_read(
         self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        ready!(task_budget::poll_remaining(context));
         let result = ready!(poll_uninterrupted(|| Pin::new(&mut &self.stream).poll_read(context, buffer)));
+        task_budget::charge(result.as_ref().map_or(0, |length| *length));
         self.may_have_unsent_bytes.set(false);
         Poll::Ready(result)
     }
@@ -237,7 +241,13 @@
 
 impl AsyncWrite for &Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        poll_uninterrupted(|| Pin::new(&mut &self.stream).poll_write(context, bytes))
+        let written = poll_uninterrupted(|| Pin::new(&mut &self.stream).poll_write(context, bytes));
+        // A write is charged but never delayed: its size is bounded, and its caller takes a pending write as one
+        // that waits for the peer.
+        if let Poll::Ready(Ok(length)) = written {
+            task_budget::charge(length);
+        }
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/comethitchd/tests/support/mod.rs
+++ b/crates/comethitchd/tests/support/mod.rs
@@ -7,6 +7,7 @@
 //! - [`late_host`] completes logins late, and [`gate`] blocks the script of a host until the test opens it.
 //! - [`discovery`] serves the endpoint list as a test writes it; [`discovery_agent`] generates it and injects
 //!   faults.
+//! - [`endless_peer`] sends without a pause, beside a client that must not have to wait for that.
 //! - [`configuration`] builds settings, endpoints and statement rules, [`messages`] builds requests and
 //!   protocol messages.
 //!
@@ -19,6 +20,7 @@
 pub(crate) mod daemon;
 pub(crate) mod discovery;
 pub(crate) mod discovery_agent;
+pub(crate) mod endless_peer;
 pub(crate) mod gate;
 pub(crate) mod late_host;
 pub(crate) mod messages;
--- a/crates/comethitchd/tests/support/scripted_host.rs
+++ b/crates/comethitchd/tests/support/scripted_host.rs
@@ -4,6 +4,7 @@
 //! PostgreSQL only, but it can send arbitrary bytes, and it reports when the router closes one of its
 //! connections.
 
+use super::endless_peer::flood;
 use super::messages::{greeting, ready};
 use super::{TEST_TIMEOUT, one_row_answer, parameter_status};
 use comethitch_testkit::postgres::{Message, answer_without_effect, read_message};
@@ -21,6 +22,8 @@
     Answer(Vec<u8>),
     /// Sends only these bytes.
     Raw(Vec<u8>),
+    /// Sends `first`, and then copies of `repeated` at full speed for [`super::endless_peer::FLOOD_TIME`].
+    Endless { first: Vec<u8>, repeated: Vec<u8> },
     /// Sends nothing until the router closes the connection, and then closes it.
     Silence,
     /// Closes the connection.
@@ -156,6 +159,11 @@
                 HostAction::Raw(bytes) => {
                     let _ = stream.write_all(&bytes);
                 }
+                HostAction::Endless { first, repeated } => {
+                    let _ = stream.write_all(&first);
+                    flood(&stream, &repeated);
+                    break;
+                }
                 HostAction::Silence => {
                     let _ = io::copy(&mut stream, &mut io::sink());
                     break;
