Messages of a host around the rows of an answer are bounded like the rows

Cause: rows and tags count towards the size of an answer; ParameterStatus, notices, notifications and errors (PostgreSQL), and tokens that are not forwarded (TDS), did not count at all.

Change: such messages of one answer may have 136 KiB on PostgreSQL, as a value may, and 64 KiB on TDS; on streamed answers between two parts. More is a violation of the protocol: the attempt ends as one that may have run, and the connection is closed. Both bounds are chosen.

Tests on the commit before: answer_that_never_ends_fails_by_its_size failed (the failure came after 1.55 s, when the host stopped), response_with_endless_messages_around_its_rows_is_malformed failed. The test of the TDS bound names the new constant, so it was not run there. All pass now.

--- a/crates/comethitchd/src/protocols/tds/pending_response.rs
+++ b/crates/comethitchd/src/protocols/tds/pending_response.rs
@@ -46,6 +46,6 @@
     }
 
     fn take_part(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.response.tokens)
+        self.response.take_tokens()
     }
 }
--- a/crates/comethitchd/src/protocols/tds/response.rs
+++ b/crates/comethitchd/src/protocols/tds/response.rs
@@ -11,6 +11,9 @@
 
 /// Maximum size of a token that is forwarded.
 pub(super) const MAX_TOKEN_BYTES: usize = 1 << 20;
+/// Maximum size of the tokens of a response that are not forwarded. If the response is streamed, it applies
+/// between two parts.
+const MAX_SESSION_TOKEN_BYTES: usize = 64 * 1024;
 /// The highest severity class of an informational message. Messages of higher classes are errors.
 const MAX_INFORMATION_CLASS: u8 = 10;
 
@@ -38,6 +41,8 @@
     pub has_surplus: bool,
     /// Whether a row or a row count was received.
     has_results: bool,
+    /// Size of the tokens that are not forwarded, since tokens were last taken.
+    session_token_bytes: usize,
 }
 
 /// The first two values of a response's first row.
@@ -65,6 +70,7 @@
             in_transaction: false,
             has_surplus: false,
             has_results: false,
+            session_token_bytes: 0,
         }
     }
 
@@ -131,7 +137,7 @@
         while parsed < self.unparsed.len() && !self.is_complete() {
             match self.parser.next(&self.unparsed[parsed..]) {
                 Ok(ParsedToken { token, length }) => {
-                    self.add_token(&token, parsed..parsed + length);
+                    self.add_token(&token, parsed..parsed + length)?;
                     parsed += length;
                     self.record(token);
                 }
@@ -149,14 +155,29 @@
 
     /// Appends the token at `range` of the unparsed bytes to the forwarded tokens, and keeps the first row's
     /// values.
-    fn add_token(&mut self, token: &Token, range: std::ops::Range<usize>) {
+    ///
+    /// # Errors
+    /// If there were too many tokens that are not forwarded, because a host could send them without end.
+    fn add_token(&mut self, token: &Token, range: std::ops::Range<usize>) -> Result<(), MalformedMessage> {
         let bytes = &self.unparsed[range];
         if self.first_row.is_none() && *token == Token::Row {
             self.first_row = first_row(&self.parser, bytes);
         }
         if is_forwarded(token) {
             self.tokens.extend_from_slice(bytes);
+            return Ok(());
         }
+        self.session_token_bytes += bytes.len();
+        if self.session_token_bytes > MAX_SESSION_TOKEN_BYTES {
+            return Err(MalformedMessage("the response contains too many tokens that are not forwarded"));
+        }
+        Ok(())
+    }
+
+    /// Removes and returns the tokens received so far, to be streamed.
+    pub fn take_tokens(&mut self) -> Vec<u8> {
+        self.session_token_bytes = 0;
+        std::mem::take(&mut self.tokens)
     }
 
     /// Updates the state of the session and of the response by a token.
@@ -207,3 +228,6 @@
         _ => true,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/comethitchd/src/wire/postgres/response.rs
+++ b/crates/comethitchd/src/wire/postgres/response.rs
@@ -15,6 +15,9 @@
 /// Maximum size of the body of a message that contains no values, such as a description, tag, parameter or
 /// error.
 const MAX_TEXT_BYTES: usize = 8 * 1024;
+/// Maximum size of the messages of a response that are neither rows nor tags, such as notices and parameters. If
+/// the response is streamed, it applies between two parts.
+const MAX_STATUS_BYTES: usize = MAX_MESSAGE_BYTES;
 /// Size of the message header and the number of columns, which precede a row's first column.
 const ROW_HEADER_BYTES: usize = HEADER_BYTES + COLUMN_COUNT_BYTES;
 /// Size of the number of columns at the start of the body of a row or a row description.
@@ -80,6 +83,8 @@
     phase: ResponsePhase,
     /// Whether rows were already taken to be streamed.
     rows_taken: bool,
+    /// Size of the messages that are neither rows nor tags, since rows were last taken.
+    status_bytes: usize,
 }
 
 /// The kind of the last message that was received, apart from those that may come at any time. `Started` if
@@ -186,10 +191,19 @@
             backend::NOTICE
             | backend::NOTIFICATION
             | backend::BACKEND_KEY_DATA
-            | backend::NEGOTIATE_VERSION => Ok(()),
-            backend::PARAMETER_STATUS => Ok(self.set_parameter(message.body)?),
-            backend::AUTHENTICATION => Ok(self.check_authentication(message.body)?),
-            backend::ERROR => Ok(self.set_error(message)?),
+            | backend::NEGOTIATE_VERSION => Ok(self.add_status(message)?),
+            backend::PARAMETER_STATUS => {
+                self.add_status(message)?;
+                Ok(self.set_parameter(message.body)?)
+            }
+            backend::AUTHENTICATION => {
+                self.add_status(message)?;
+                Ok(self.check_authentication(message.body)?)
+            }
+            backend::ERROR => {
+                self.add_status(message)?;
+                Ok(self.set_error(message)?)
+            }
             _ => {
                 let next = self.next_phase(message)?;
                 self.enter(next, message)
@@ -197,6 +211,18 @@
         }
     }
 
+    /// Counts a message that is neither a row nor a tag.
+    ///
+    /// # Errors
+    /// If there were too many, because a host could send them without end.
+    fn add_status(&mut self, message: &Message<'_>) -> Result<(), MalformedMessage> {
+        self.status_bytes += message.raw.len();
+        if self.status_bytes > MAX_STATUS_BYTES {
+            return Err(MalformedMessage("the host sent too many messages with an answer"));
+        }
+        Ok(())
+    }
+
     fn set_parameter(&mut self, body: &[u8]) -> Result<(), MalformedMessage> {
         let texts: Option<Vec<&[u8]>> = zero_terminated(body).map(|texts| texts.take(3).collect());
         let Some(&[name, value]) = texts.as_deref() else {
@@ -295,6 +321,7 @@
     /// Removes and returns the rows received so far, to be streamed.
     pub fn take_rows(&mut self) -> Vec<u8> {
         self.rows_taken = true;
+        self.status_bytes = 0;
         std::mem::take(&mut self.rows)
     }
 
--- a/crates/comethitchd/tests/busy_hosts.rs
+++ b/crates/comethitchd/tests/busy_hosts.rs
@@ -58,6 +58,21 @@
     assert_endless_answer_delays_nobody(b"", &notice());
 }
 
+/// Guards against an endless answer that occupies the router until its timeout: it ends by its size.
+#[test]
+fn answer_that_never_ends_fails_by_its_size() {
+    let primary = ScriptedHost::primary(|_, _| HostAction::Endless { first: Vec::new(), repeated: notice() });
+    let router = Router::with_single_primary(&primary);
+    let mut client = PostgresClient::connect(router.address);
+    let sent_at = Instant::now();
+    let reply = client.execute(&write_request(SPOILT_ID, 10_000));
+    let took = sent_at.elapsed();
+    assert_eq!(reply, ClientReply::error("40003"), "the write may have run");
+    assert!(took < FLOOD_TIME, "the answer must fail before the host stops: {took:?}");
+    drop(client);
+    router.shut_down();
+}
+
 /// Guards against a host that keeps the thread after a whole answer, while the answer to the barrier behind it
 /// is awaited.
 #[test]
--- a/crates/comethitchd/tests/wire.rs
+++ b/crates/comethitchd/tests/wire.rs
@@ -56,6 +56,19 @@
     support::message(b'N', b"SNOTICE\0\0")
 }
 
+/// Guards against an answer of which only messages without rows arrive, without end: they are bounded like the
+/// rows.
+#[test]
+fn response_with_endless_messages_around_its_rows_is_malformed() {
+    for repeated in [parameter_status("TimeZone", "UTC"), notice()] {
+        let below = repeated.repeat(MAX_MESSAGE_BYTES / repeated.len());
+        let answer = [one_row_answer(b"value"), ready()].concat();
+        assert!(response_in_pieces(4096, &[below.clone(), answer].concat()).is_ok(), "up to the bound");
+        let above = [below, repeated].concat();
+        assert!(response_in_pieces(4096, &above).is_err(), "past the bound");
+    }
+}
+
 /// Guards against forwarding an incomplete or malformed response as an answer, and against waiting for bytes
 /// that a response cannot validly contain.
 #[test]
