A client that sends no requests is slowed down and then disconnected

With turns alone such clients still get their turns for as long as they like.

Cause: only invalid statements were counted. Empty queries, settings of the session, Sync, Flush, Copy, unsupported messages, attentions and requests for encryption never were.

Encryption may be requested once for each of the two kinds, as in PostgreSQL. New count: clients_paused.

Not done: a rate per client machine. A client that opens ever new connections gets the allowance each time; other clients behind the same address would pay for it.

--- a/crates/comethitchd/src/protocols/client_connection/mod.rs
+++ b/crates/comethitchd/src/protocols/client_connection/mod.rs
@@ -18,6 +18,7 @@
 use crate::state::buffer::Buffer;
 use crate::state::client_registry::ConnectionPhase;
 use crate::state::descriptors::DescriptorPermit;
+use crate::state::message_allowance::MessageAllowance;
 use crate::state::pending_requests::{AnswerKind, Reply};
 use crate::state::router_state::RouterState;
 use crate::state::signals::{CloseRequest, ConnectionSignal};
@@ -58,6 +59,8 @@
     /// Whether a request was answered on this connection, so that it may be closed while idle.
     has_been_answered: bool,
     consecutive_invalid: u32,
+    /// The messages without a request that the client may still send.
+    message_allowance: MessageAllowance,
     /// Time at which the last read left no input unread. `None` if no close had been requested by then.
     all_read_while_closing_at: Option<Timestamp>,
 }
@@ -104,6 +107,7 @@
             _permit: permit,
             has_been_answered: false,
             consecutive_invalid: 0,
+            message_allowance: MessageAllowance::new(arrived_at),
             all_read_while_closing_at: None,
         }
     }
@@ -113,6 +117,7 @@
         self.has_been_answered = true;
         self.answer_outstanding.set(false);
         self.consecutive_invalid = 0;
+        self.message_allowance.record_request();
     }
 
     /// Counts and logs an invalid statement.
--- a/crates/comethitchd/src/protocols/client_connection/waiting.rs
+++ b/crates/comethitchd/src/protocols/client_connection/waiting.rs
@@ -3,6 +3,8 @@
 
 use super::{ClientConnection, Disconnect};
 use crate::state::client_registry::ConnectionPhase;
+use crate::state::clock::after;
+use crate::state::message_allowance::MessageLimit;
 use crate::state::signals::CloseRequest;
 use async_io::Timer;
 use comethitch_policy::time::Duration as PolicyDuration;
@@ -122,6 +124,33 @@
         }
     }
 
+    /// Takes a message that is no request from the client's allowance. If the client has sent too many of them,
+    /// first waits without reading, so that the client has to wait as well.
+    ///
+    /// # Errors
+    /// If the client goes on sending such messages all the same.
+    pub(crate) async fn limit_messages(&mut self) -> Result<(), Disconnect> {
+        match self.message_allowance.take(self.state.clock.now()) {
+            MessageLimit::Handle => Ok(()),
+            MessageLimit::HandleAfter(pause) => {
+                self.state.metrics.clients_paused.increment();
+                self.pause_reading(pause.to_std()).await;
+                Ok(())
+            }
+            MessageLimit::Exceeded => {
+                Err(Disconnect::ProtocolViolation("too many messages that are no requests"))
+            }
+        }
+    }
+
+    /// Waits without reading. The wait ends early if the client disconnects, or if the connection is asked to
+    /// close, since its requests must then be answered soon.
+    async fn pause_reading(&mut self, pause: Duration) {
+        let signal = self.signal.clone();
+        let close = signal.wait_for_close(CloseRequest::WhenIdle);
+        close.or(after(pause, ())).or(self.wait_for_disconnect()).await;
+    }
+
     /// Records the arrival of bytes in the socket's receive buffer.
     fn record_waiting_input(&mut self) {
         let waiting = self.stream.peek(&mut self.state.clients.discard_buffer().borrow_mut());
--- a/crates/comethitchd/src/protocols/postgres/client.rs
+++ b/crates/comethitchd/src/protocols/postgres/client.rs
@@ -23,6 +23,10 @@
 /// The answer to a request for encryption: it is not supported.
 const ENCRYPTION_DECLINED: &[u8] = b"N";
 
+/// Maximum number of requests for encryption on a connection: one for each kind of encryption that the protocol
+/// knows.
+const MAX_ENCRYPTION_REQUESTS: usize = 2;
+
 /// The SQLSTATEs of the errors that the router itself generates.
 mod sqlstate {
     /// `protocol_violation`.
@@ -72,6 +76,7 @@
 impl Session {
     /// Handles messages up to the start of the session, or a request to cancel another session's query.
     async fn start(&mut self) -> Result<(), Disconnect> {
+        let mut encryption_requests = 0;
         loop {
             let unread = self.connection.buffer.unread();
             let Some(StartupMessage { request, length }) = postgres::startup_message(unread)? else {
@@ -84,7 +89,11 @@
                     self.cancel_request(length);
                     return Err(Disconnect::ClientGone);
                 }
+                StartupRequest::Encryption if encryption_requests == MAX_ENCRYPTION_REQUESTS => {
+                    return Err(Disconnect::ProtocolViolation("too many requests for encryption"));
+                }
                 StartupRequest::Encryption => {
+                    encryption_requests += 1;
                     self.connection.consume(length);
                     self.connection.write(ENCRYPTION_DECLINED).await?;
                 }
@@ -133,10 +142,11 @@
             let text = postgres::query_text(message.body)?.to_vec();
             self.connection.consume(length);
             if self.skips_to_sync {
-                return Ok(());
+                return self.connection.limit_messages().await;
             }
             return self.handle_query(text).await;
         }
+        self.connection.limit_messages().await?;
         let reply = self.reply_to(kind)?;
         self.connection.consume(length);
         self.send_answer(reply).await
@@ -179,12 +189,14 @@
     async fn handle_query(&mut self, text: Vec<u8>) -> Result<(), Disconnect> {
         let mut out = Vec::new();
         if is_empty_query(&text) {
+            self.connection.limit_messages().await?;
             if self.connection.wait_until_ready().await? {
                 postgres::put_empty_query(&mut out);
             } else {
                 put_reply(&mut out, Reply::Throttled(None));
             }
         } else if let Some(tag) = session_statement_tag(&self.connection.state, &text) {
+            self.connection.limit_messages().await?;
             postgres::put_command_complete(&mut out, tag);
         } else {
             self.run_statement(text, &mut out).await?;
--- a/crates/comethitchd/src/protocols/tds/client/mod.rs
+++ b/crates/comethitchd/src/protocols/tds/client/mod.rs
@@ -143,10 +143,11 @@
         }
         // The client cancelled the message while sending it, so no part of it may run.
         if message.status & status::IGNORE != 0 {
-            return Ok(());
+            return self.connection.limit_messages().await;
         }
         // The attention crossed the answer on the network, so there is nothing left to cancel.
         if message.kind == MessageKind::Attention {
+            self.connection.limit_messages().await?;
             return self.acknowledge_attention().await;
         }
         let operation = operation::parse(message.kind, message.payload, &mut self.prepared)?;
@@ -165,7 +166,10 @@
         &mut self, operation: Operation, tokens: &mut Vec<u8>,
     ) -> Result<OperationEnd, Disconnect> {
         match operation {
-            Operation::AnsweredLocally(answer) => tokens.extend(answer),
+            Operation::AnsweredLocally(answer) => {
+                self.connection.limit_messages().await?;
+                tokens.extend(answer);
+            }
             Operation::Rejected { reason, framing } => self.reject(tokens, &reason, framing)?,
             Operation::Run(statement) => return self.run_statement(statement, tokens).await,
         }
--- a/crates/comethitchd/src/state/metrics.rs
+++ b/crates/comethitchd/src/state/metrics.rs
@@ -62,6 +62,8 @@
     pub clients_disconnected: Counter,
     /// Statements that are not valid requests, and protocol violations of clients.
     pub invalid_requests: Counter,
+    /// Pauses in reading from clients that sent too many messages without a request.
+    pub clients_paused: Counter,
     /// Health checks sent.
     pub health_checks: Counter,
     /// Health checks that were not answered.
@@ -97,6 +99,7 @@
         counts.push_nonzero("failed", self.failed.take());
         counts.push_nonzero("clients_disconnected", self.clients_disconnected.take());
         counts.push_nonzero("invalid_requests", self.invalid_requests.take());
+        counts.push_nonzero("clients_paused", self.clients_paused.take());
         counts.push_nonzero("health_checks", self.health_checks.take());
         counts.push_nonzero("health_checks_failed", self.health_checks_failed.take());
         counts.push_nonzero("connections_opened", self.connections_opened.take());
--- a/crates/comethitchd/src/state/mod.rs
+++ b/crates/comethitchd/src/state/mod.rs
@@ -18,6 +18,7 @@
 pub mod hosts;
 pub mod log_fields;
 pub mod memory_budget;
+pub mod message_allowance;
 pub mod metrics;
 pub mod metrics_report;
 pub mod pending_requests;
--- a/crates/comethitchd/tests/busy_clients.rs
+++ b/crates/comethitchd/tests/busy_clients.rs
@@ -5,6 +5,7 @@
 
 use comethitch_testkit::tds::{attention, batch};
 use comethitch_testkit::{Client, Host, Ledger, Protocol};
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::thread::{JoinHandle, spawn};
 use std::time::{Duration, Instant};
@@ -50,6 +51,11 @@
     floods.into_iter().for_each(|flood| flood.join().expect("the busy client does not panic"));
 }
 
+/// Time within which a client that is of no use must get an error or a close.
+const MAX_TIME_TO_ERROR: Duration = Duration::from_secs(3);
+/// Maximum number of messages that are answered in that time to a client that sends no requests.
+const MAX_ANSWERS: usize = 1_000;
+
 /// Floods the router with a message on several connections. Asserts that another client is served meanwhile,
 /// and that the timeout of a request expires.
 fn assert_others_are_served(beside: &str, message: &[u8], connect: fn(SocketAddr) -> PostgresClient) {
@@ -122,6 +128,71 @@
     assert_others_are_served("input after an error", b"!!!!!!!!", PostgresClient::connect);
 }
 
+/// Guards against a client that costs processor time for as long as it likes: it is slowed down, and then
+/// disconnected within the 3 s in which a client that is of no use must get an error.
+#[test]
+fn client_that_sends_no_requests_is_slowed_down_and_disconnected() {
+    let primary = ScriptedHost::primary(|_, _| answer("value"));
+    let router = Router::with_single_primary(&primary);
+    let floods: [(&str, Vec<u8>); 3] =
+        [("empty queries", query("")), ("Sync", message(b'S', b"")), ("Flush", message(b'H', b""))];
+    for (name, message) in floods {
+        let mut client = PostgresClient::connect(router.address);
+        let mut sender = client.stream.try_clone().expect("the socket can be duplicated");
+        let block = message.repeat(100);
+        let flooding = spawn(move || while sender.write_all(&block).is_ok() {});
+        let started = Instant::now();
+        let mut answers = 0;
+        let error = loop {
+            match client.receive() {
+                ClientReply::Error(sqlstate) => break sqlstate,
+                _ => answers += 1,
+            }
+            assert!(started.elapsed() < MAX_TIME_TO_ERROR, "{name}: {answers} answers and no error");
+        };
+        assert_eq!(error, "08P01", "{name}");
+        assert!(answers < MAX_ANSWERS, "{name}: {answers} messages were answered");
+        drop(client);
+        flooding.join().expect("the busy client does not panic");
+    }
+    router.shut_down();
+}
+
+/// Guards against slowing down a client whose driver sends settings and checks around each request.
+#[test]
+fn client_that_sends_requests_may_send_other_messages_with_them() {
+    let primary = ScriptedHost::primary(|_, _| answer("value"));
+    let router = Router::with_single_primary(&primary);
+    let mut client = PostgresClient::connect(router.address);
+    for id in 1..400 {
+        for _ in 0..4 {
+            assert_eq!(client.execute(""), ClientReply::Empty);
+        }
+        assert_eq!(client.execute("SET search_path = x"), ClientReply::Done("SET".into()));
+        assert_eq!(client.execute(&write_request(id, 2_000)), ClientReply::value("value"));
+    }
+    drop(client);
+    router.shut_down();
+}
+
+/// Guards against a client that never goes on from requests for encryption to a session.
+#[test]
+fn encryption_may_be_requested_once_for_each_kind() {
+    let primary = ScriptedHost::primary(|_, _| answer("value"));
+    let router = Router::with_single_primary(&primary);
+    let mut client = PostgresClient::connect_without_startup(router.address);
+    let mut declined = [0; 1];
+    for _ in 0..2 {
+        client.stream.write_all(&ENCRYPTION_REQUEST).expect("the request is sent");
+        client.stream.read_exact(&mut declined).expect("the request is answered");
+        assert_eq!(&declined, b"N");
+    }
+    client.stream.write_all(&ENCRYPTION_REQUEST).expect("the request is sent");
+    assert_eq!(client.receive(), ClientReply::error("08P01"));
+    drop(client);
+    router.shut_down();
+}
+
 /// Guards against a TDS client that keeps the thread by messages that no host is needed for.
 #[test]
 fn tds_client_that_repeats_messages_of_no_use_delays_nobody() {
