An answer that tells of a lost role is believed before it is confirmed

Cause: an answer on a reused connection is held back until the barrier behind it is answered, since it may belong to an earlier request. Its role was held back with it, and dropped if the barrier was never answered.

Change: when a response is complete, what it tells is reported to the policy at once (Router::unconfirmed_answer, policy/unconfirmed.rs), which believes only what tells against the host: that it is a replica, or has rejected a write because it is not the primary. What tells for a host waits for the confirmation, as before. Both protocols, reads, writes and health checks share this path, also responses whose end broke, and streamed ones, whose role was never reported. A position tells nothing against a host, since the known one is a lower bound. If the answer was an old one, the shard is in Failover until a host next answers as the primary.

--- a/crates/comethitch-policy/src/lib.rs
+++ b/crates/comethitch-policy/src/lib.rs
@@ -51,7 +51,7 @@
 pub use host::{Host, Lifecycle, LoadReport, Role, ShardId};
 pub use messages::{AttemptEnd, Endpoint, EndpointUpdate, Request, RequestId};
 pub use outcome::{AttemptOutcome, RejectionReason};
-pub use policy::{ClockState, Handle, Router};
+pub use policy::{ClockState, Handle, Router, UnconfirmedAnswer};
 pub use request_class::{Consistency, DeduplicationScope, Idempotency, RequestClass, StalenessCheck};
 pub use send::{SendRefusal, SendViolation};
 pub use shard::ShardState;
--- a/crates/comethitch-policy/src/policy/attempts.rs
+++ b/crates/comethitch-policy/src/policy/attempts.rs
@@ -91,12 +91,8 @@
     /// primary.
     fn fail_over_if_not_primary(&mut self, attempt: &Attempt, actions: &mut dyn Actions) {
         let is_write = self.settings.class(attempt.request_class).consistency == Consistency::Write;
-        if !is_write || !attempt.ended_as(AttemptOutcome::NotPrimary) {
-            return;
-        }
-        self.hosts[attempt.host].replication.record_rejected_write(actions.now());
-        if self.is_primary(attempt.host) {
-            self.fail_over(self.hosts[attempt.host].listing.shard_id(), actions);
+        if is_write && attempt.ended_as(AttemptOutcome::NotPrimary) {
+            self.record_rejected_write(attempt.host, actions);
         }
     }
 
--- a/crates/comethitch-policy/src/policy/mod.rs
+++ b/crates/comethitch-policy/src/policy/mod.rs
@@ -24,7 +24,7 @@
 //! Hosts and shards:
 //!
 //! - `endpoints`: applies the endpoint list,
-//! - `reports`: applies load reports,
+//! - `reports`: applies load reports, `unconfirmed` what answers show before they are confirmed,
 //! - `failover`: the state machine of a shard,
 //! - `health`: handles health checks,
 //! - `outliers`: ejects hosts,
@@ -67,6 +67,8 @@
 mod service_times;
 mod settings;
 mod staleness;
+mod unconfirmed;
 
 pub use host_clock::ClockState;
 pub use router::{Handle, Router};
+pub use unconfirmed::UnconfirmedAnswer;
--- a/crates/comethitch-policy/src/policy/reports.rs
+++ b/crates/comethitch-policy/src/policy/reports.rs
@@ -17,21 +17,25 @@
         if let Some(position) = report.position {
             self.apply_position(index, position, &report, now);
         }
-        // A report may have been delayed. If it is older than the last confirmation of the host as the
-        // primary, a role of replica in it is ignored.
-        let replication = &self.hosts[index].replication;
-        let last_seen_primary = self.host_clock.estimated(replication.last_seen_primary());
-        let is_newer = report.position.is_none_or(|position| position > last_seen_primary);
-        let reported_role = report.role.filter(|role| *role == Role::Primary || is_newer);
-        let Some(role) = trailer.and_then(|trailer| trailer.role).or(reported_role) else { return };
-        if role == Role::Primary && self.is_claim_outdated(index, trailer.is_some(), sent_at) {
+        let reported_role = self.reported_role(index, &report);
+        match trailer.and_then(|trailer| trailer.role).or(reported_role) {
+            Some(Role::Primary) => self.apply_primary_claim(index, trailer.is_some(), sent_at, actions),
+            Some(Role::Replica) => self.record_replica(index, actions),
+            None => {}
+        }
+    }
+
+    /// Applies a host's claim to be the primary. `in_response` is whether the claim came with the answer to a
+    /// request, and `sent_at` is when that or the health check was sent.
+    fn apply_primary_claim(
+        &mut self, index: HostIndex, in_response: bool, sent_at: Timestamp, actions: &mut dyn Actions,
+    ) {
+        if self.is_claim_outdated(index, in_response, sent_at) {
             return;
         }
-        self.hosts[index].replication.record_role(role, now);
-        if role == Role::Primary && self.accepts_primary_claim(index, trailer.is_some()) {
+        self.hosts[index].replication.record_role(Role::Primary, actions.now());
+        if self.accepts_primary_claim(index, in_response) {
             self.confirm_primary(index, actions);
-        } else if role == Role::Replica && self.is_primary(index) {
-            self.fail_over(self.hosts[index].listing.shard_id(), actions);
         }
     }
 
--- a/crates/comethitch-policy/tests/scenario_runner/mod.rs
+++ b/crates/comethitch-policy/tests/scenario_runner/mod.rs
@@ -9,7 +9,7 @@
 use comethitch_policy::time::{Duration, Timestamp};
 use comethitch_policy::{
     AttemptEnd, AttemptOutcome, Deployment, EndpointUpdate, Handle, LoadReport, Request, RequestId, Role,
-    Router,
+    Router, UnconfirmedAnswer,
 };
 use notation::{AttemptId, matches};
 use recorded_actions::RecordedActions;
@@ -92,6 +92,9 @@
             ["attempt_ended", attempt, outcome, trailer @ ..] => {
                 self.end_attempt(attempt, outcome, trailer)?;
             }
+            ["unconfirmed_answer", host, request, outcome, contents @ ..] => {
+                self.report_unconfirmed_answer(host, request, outcome, contents);
+            }
             ["check_send", attempt, expected] => self.check_send(attempt, *expected == "allowed")?,
             ["max_host_entries", max] => self.check_host_entries(notation::number(max))?,
             ["disconnect", id] => self.disconnect(notation::number(id))?,
@@ -203,6 +206,20 @@
         Ok(())
     }
 
+    fn report_unconfirmed_answer(&mut self, host: &str, request: &str, outcome: &str, contents: &[&str]) {
+        let contents = self.load_report(contents);
+        let request = (request != "health_check").then(|| notation::number(request));
+        let (trailer, report) = match request {
+            Some(_) => (contents, LoadReport::default()),
+            None => (LoadReport::default(), contents),
+        };
+        let host = notation::host(host);
+        let answer =
+            UnconfirmedAnswer { host, request, outcome: notation::outcome(outcome), trailer, report };
+        let (router, recorded) = self.router();
+        router.unconfirmed_answer(&answer, recorded);
+    }
+
     fn check_send(&mut self, attempt: &str, expects_allowed: bool) -> StepResult {
         let AttemptId { request, attempt } = AttemptId::parse(attempt);
         let (handle, router, recorded) = self.request(request)?;
--- a/crates/comethitch-policy/tests/scenarios.rs
+++ b/crates/comethitch-policy/tests/scenarios.rs
@@ -23,6 +23,9 @@
 //! attempt_ended 1.0 connection_reset finished primary -20ms
 //!     Reports the end of the attempt 0 of the request 1: its outcome and, optionally, that the request is
 //!     finished, and the response trailer.
+//! unconfirmed_answer a 1 not_primary replica
+//!     Reports a complete answer of the host a to the request 1, or to a `health_check`, that is not confirmed
+//!     yet: its outcome and, optionally, the response trailer or the load report.
 //! check_send 1.0 allowed|refused
 //!     Checks that the send guard allows or refuses an attempt now.
 //! max_host_entries 4
--- a/crates/comethitch-testkit/src/connection.rs
+++ b/crates/comethitch-testkit/src/connection.rs
@@ -102,7 +102,9 @@
             if let Response::Scripted { behavior: HostBehavior::Answer, key } = &response {
                 last_answer = protocol.answer(key);
             }
-            respond(&mut protocol, response)?
+            let falls_silent = matches!(response, Response::ReadOnly) && engine.take_silence();
+            let next_step = respond(&mut protocol, response)?;
+            if falls_silent { wait_for_peer(&mut protocol)? } else { next_step }
         };
         if next_step == NextStep::Close {
             break;
--- a/crates/comethitch-testkit/src/engine.rs
+++ b/crates/comethitch-testkit/src/engine.rs
@@ -36,6 +36,8 @@
     down: AtomicBool,
     /// Whether the next message on any connection is preceded by a second copy of an earlier answer.
     second_copy_armed: AtomicBool,
+    /// Whether the connection falls silent on which a write is rejected next.
+    silence_armed: AtomicBool,
     script: Mutex<Script>,
     request_count: AtomicUsize,
     ledger: Ledger,
@@ -52,6 +54,7 @@
             replication_lag_ms: AtomicU64::new(0),
             down: AtomicBool::new(false),
             second_copy_armed: AtomicBool::new(false),
+            silence_armed: AtomicBool::new(false),
             script: Mutex::new(Box::new(|_, _| HostBehavior::Answer)),
             request_count: AtomicUsize::new(0),
             ledger: ledger.clone(),
@@ -105,6 +108,16 @@
         self.second_copy_armed.swap(false, Ordering::SeqCst)
     }
 
+    /// Makes the connection fall silent on which a write is rejected next.
+    pub(crate) fn arm_silence(&self) {
+        self.silence_armed.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the connection on which a write was just rejected falls silent, and lets no other one.
+    pub(crate) fn take_silence(&self) -> bool {
+        self.silence_armed.swap(false, Ordering::SeqCst)
+    }
+
     /// Sets the script, which chooses the behavior for each request given the number of earlier requests and
     /// the text.
     pub(crate) fn set_script(&self, script: impl Fn(usize, &str) -> HostBehavior + Send + Sync + 'static) {
--- a/crates/comethitch-testkit/src/host.rs
+++ b/crates/comethitch-testkit/src/host.rs
@@ -66,6 +66,12 @@
         self.engine.arm_second_copy(true);
     }
 
+    /// Makes the connection on which a write is rejected next fall silent right after the answer. The host and
+    /// its other connections go on.
+    pub fn fall_silent_after_rejected_write(&self) {
+        self.engine.arm_silence();
+    }
+
     /// Returns whether the second copy that was asked for is still to be sent.
     pub fn second_copy_is_pending(&self) -> bool {
         self.engine.second_copy_is_armed()
--- a/crates/comethitchd/src/protocols/attempt.rs
+++ b/crates/comethitchd/src/protocols/attempt.rs
@@ -56,6 +56,11 @@
 }
 
 impl Attempt {
+    /// Returns the request's id in the policy.
+    pub(super) fn request(&self) -> RequestId {
+        self.request
+    }
+
     /// Returns the time left until the deadline.
     pub(super) fn time_left(&self) -> Duration {
         self.deadline - self.state.clock.now()
--- a/crates/comethitchd/src/protocols/exchange.rs
+++ b/crates/comethitchd/src/protocols/exchange.rs
@@ -8,19 +8,22 @@
 use crate::protocols::attempt::{Attempt, SendRefused};
 use crate::protocols::barrier::{self, HostProtocol, Reuse};
 use crate::protocols::streamed_answer::StreamedAnswer;
+use crate::stages::policy_driver;
 use crate::state::buffer::Buffer;
 use crate::state::clock::after;
 use crate::state::host_connection::{ConnectionError, HostConnection};
 use crate::state::router_state::RouterState;
 use crate::state::socket::WriteError;
+use crate::state::step_times::EventLoopStep;
 use async_io::Timer;
-use comethitch_policy::Host;
 use comethitch_policy::time::{Duration, Timestamp};
+use comethitch_policy::{AttemptOutcome, Host, LoadReport, UnconfirmedAnswer};
 use futures_lite::FutureExt;
 use std::cell::Cell;
 use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Maximum time from encoding a message to writing its last byte. The message states the client's remaining
 /// time, which the rules allow to be at most 150 ms out of date. A message that is not completely written by
@@ -30,7 +33,7 @@
 /// The exchange of one message and its response with a host, for an attempt or a health check.
 pub(super) struct Exchange<'a> {
     /// The router's state.
-    pub state: &'a RouterState,
+    pub state: &'a Rc<RouterState>,
     host: Host,
     deadline: Timestamp,
     /// The attempt, or `None` for a health check.
@@ -52,11 +55,16 @@
     }
 
     /// Creates the exchange of a health check, whose timeout is the connect timeout.
-    pub(super) fn for_health_check(state: &'a RouterState, host: Host) -> Exchange<'a> {
+    pub(super) fn for_health_check(state: &'a Rc<RouterState>, host: Host) -> Exchange<'a> {
         let deadline = state.clock.now() + state.config.deployment.connect_timeout;
         Exchange { state, host, deadline, attempt: None, sent: Cell::new(false) }
     }
 
+    /// Returns whether this is the exchange of a health check.
+    pub(super) fn is_health_check(&self) -> bool {
+        self.attempt.is_none()
+    }
+
     /// Returns the answer that a large response is streamed to, or `None` for a health check, whose response
     /// is never streamed.
     pub(super) fn streamed_answer(&self) -> Option<&'a StreamedAnswer> {
@@ -143,14 +151,20 @@
     }
 
     /// Checks that the response that was just read is that of the message, and returns whether the connection
-    /// can be reused. `end` is how reading the response ended.
+    /// can be reused. `end` is how reading the response ended, and `contents` is what the response tells about
+    /// the host, which is reported to the policy before the check: the check may take long.
     ///
     /// # Errors
     /// If the connection was used before, and the response may belong to an earlier message.
     pub(super) async fn confirm<P: HostProtocol>(
-        &self, protocol: &P, connection: &mut HostConnection, end: &ResponseEnd,
+        &self, protocol: &P, connection: &mut HostConnection, end: &ResponseEnd, contents: &ResponseContents,
     ) -> Result<Reuse, ConnectionError> {
         let was_used = std::mem::replace(&mut connection.session.used, true);
+        // What comes with a streamed answer is not reported at its end, as the attempt has ended at its start.
+        let is_streamed = self.streamed_answer().is_some_and(StreamedAnswer::has_started);
+        if (was_used || is_streamed) && *end != Err(ConnectionError::Malformed) {
+            self.report_unconfirmed(contents);
+        }
         match end {
             Ok(()) if was_used => {
                 let confirmed = barrier::confirm(protocol, connection).await;
@@ -163,6 +177,19 @@
         }
     }
 
+    /// Reports a response to the policy that may belong to an earlier message.
+    fn report_unconfirmed(&self, contents: &ResponseContents) {
+        let ResponseContents { outcome, trailer, report } = *contents;
+        let request = self.attempt.map(Attempt::request);
+        let answer = UnconfirmedAnswer { host: self.host, request, outcome, trailer, report };
+        if !answer.may_show_lost_role() {
+            return;
+        }
+        policy_driver::call(self.state, EventLoopStep::UnconfirmedAnswer, |router, actions| {
+            router.unconfirmed_answer(&answer, actions);
+        });
+    }
+
     /// Checks that the host answers barriers, and returns whether the connection can be reused.
     async fn verify<P: HostProtocol>(&self, protocol: &P, connection: &mut HostConnection) -> Reuse {
         let connect_timeout = self.state.config.deployment.connect_timeout.to_std();
@@ -224,6 +251,17 @@
     }
 }
 
+/// What a response tells about its host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ResponseContents {
+    /// The outcome that the attempt or the health check would be reported with.
+    pub outcome: AttemptOutcome,
+    /// The response trailer; empty for a health check.
+    pub trailer: LoadReport,
+    /// The load report.
+    pub report: LoadReport,
+}
+
 /// How much of a response is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ResponseProgress {
--- a/crates/comethitchd/src/protocols/postgres/backend.rs
+++ b/crates/comethitchd/src/protocols/postgres/backend.rs
@@ -3,11 +3,15 @@
 use crate::protocols::attempt;
 use crate::protocols::barrier::{BarrierResponse, HostProtocol, Reuse};
 use crate::protocols::connect::{ConnectionOptions, connect};
-use crate::protocols::exchange::{Exchange, Response, ResponseEnd, ResponseProgress, read_response};
+use crate::protocols::exchange::{
+    Exchange, Response, ResponseContents, ResponseEnd, ResponseProgress, read_response,
+};
 use crate::protocols::health_check::{self, HealthCheckResult};
 use crate::protocols::streamed_answer::{STREAMING_THRESHOLD_BYTES, StreamedAnswer};
 use crate::state::buffer::Buffer;
-use crate::state::host_connection::{ConnectionError, HostConnection, HostErrorCode, SessionState};
+use crate::state::host_connection::{
+    ConnectionError, HostConnection, HostErrorCode, SessionState, attempt_outcome,
+};
 use crate::state::memory_budget::Reservation;
 use crate::state::pending_requests::Statement;
 use crate::state::protocol::AttemptResult;
@@ -17,7 +21,7 @@
     self, BarrierQuery, HostResponse, MAX_MESSAGE_BYTES, ResponseError, ResponseShape,
 };
 use comethitch_policy::time::Duration;
-use comethitch_policy::{AttemptOutcome, Host, RequestId};
+use comethitch_policy::{AttemptOutcome, Host, LoadReport, RequestId};
 use futures_lite::AsyncWriteExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,14 +39,10 @@
             Ok(response) => response,
             Err(error) => return AttemptResult::failed(error),
         };
-        let load_report = response.parameters.load_report.as_deref();
         AttemptResult {
             trailer: host_report::from_parameters(&response.parameters),
-            report: load_report.map(host_report::parse_load_report).unwrap_or_default(),
-            completion: match response.error_code {
-                Some(code) => Err(ConnectionError::HostError(HostErrorCode::Postgres(code))),
-                None => Ok(()),
-            },
+            report: attached_report(&response).unwrap_or_default(),
+            completion: completion(&response),
             payload: if response.error.is_empty() { response.rows } else { response.error },
             already_reported: false,
         }
@@ -80,8 +80,7 @@
         let mut query = Vec::new();
         postgres::put_query(&mut query, &[HEALTH_CHECK_QUERY]);
         let response = run(&Exchange::for_health_check(&state, host), || query.clone()).await;
-        let value = response.as_ref().ok().and_then(HostResponse::single_value);
-        let report = value.map(|text| host_report::parse_load_report(&text));
+        let report = response.as_ref().ok().and_then(health_check_report);
         let result = AttemptResult::from(response);
         HealthCheckResult { completion: result.completion, report: report.unwrap_or(result.report) }
     });
@@ -140,7 +139,8 @@
     let streamed = exchange.streamed_answer().filter(|_| has_rules);
     let mut pending = PendingResponse::new(exchange.state);
     let end = read_response(&mut connection, &mut pending, streamed).await?;
-    let reuse = exchange.confirm(query, &mut connection, &end).await?;
+    let contents = contents(&pending.response, exchange.is_health_check());
+    let reuse = exchange.confirm(query, &mut connection, &end, &contents).await?;
     let is_idle = reuse == Reuse::Possible && !pending.response.in_transaction;
     let response = finish_response(pending.response, end, streamed).await?;
     if is_idle {
@@ -149,6 +149,34 @@
     Ok(response)
 }
 
+/// Returns what a response tells about its host.
+fn contents(response: &HostResponse, is_health_check: bool) -> ResponseContents {
+    let report = if is_health_check { health_check_report(response) } else { attached_report(response) };
+    ResponseContents {
+        outcome: attempt_outcome(&completion(response)),
+        trailer: host_report::from_parameters(&response.parameters),
+        report: report.unwrap_or_default(),
+    }
+}
+
+/// Returns the load report that a response to a health check consists of.
+fn health_check_report(response: &HostResponse) -> Option<LoadReport> {
+    response.single_value().map(|text| host_report::parse_load_report(&text))
+}
+
+/// Returns the load report that was sent along with a response.
+fn attached_report(response: &HostResponse) -> Option<LoadReport> {
+    response.parameters.load_report.as_deref().map(host_report::parse_load_report)
+}
+
+/// Returns the error of a response, if there is one.
+fn completion(response: &HostResponse) -> Result<(), ConnectionError> {
+    match response.error_code.clone() {
+        Some(code) => Err(ConnectionError::HostError(HostErrorCode::Postgres(code))),
+        None => Ok(()),
+    }
+}
+
 /// Returns the response if it is usable, and streams its remaining part if streaming has started.
 async fn finish_response(
     mut response: HostResponse, end: ResponseEnd, streamed: Option<&StreamedAnswer>,
--- a/crates/comethitchd/src/protocols/tds/backend.rs
+++ b/crates/comethitchd/src/protocols/tds/backend.rs
@@ -8,10 +8,10 @@
 use crate::protocols::attempt;
 use crate::protocols::barrier::{BarrierResponse, HostProtocol, Reuse};
 use crate::protocols::connect::{ConnectionOptions, connect};
-use crate::protocols::exchange::{Exchange, ResponseEnd, read_response};
+use crate::protocols::exchange::{Exchange, ResponseContents, ResponseEnd, read_response};
 use crate::protocols::health_check::{self, HealthCheckResult};
 use crate::protocols::streamed_answer::StreamedAnswer;
-use crate::state::host_connection::{ConnectionError, HostConnection, SessionState};
+use crate::state::host_connection::{ConnectionError, HostConnection, SessionState, attempt_outcome};
 use crate::state::protocol::AttemptResult;
 use crate::state::router_state::RouterState;
 use comethitch_policy::time::{Duration, Timestamp};
@@ -60,7 +60,7 @@
             Err(error) => return AttemptResult::failed(error),
         };
         AttemptResult {
-            completion: response.error.map_or(Ok(()), |code| Err(ConnectionError::HostError(code))),
+            completion: completion(&response),
             trailer: LoadReport::default(),
             report: LoadReport::default(),
             payload: response.tokens,
@@ -170,7 +170,8 @@
     let mut pending = PendingResponse::new(exchange.state);
     let streamed = exchange.streamed_answer();
     let end = read_response(&mut connection, &mut pending, streamed).await?;
-    let reuse = exchange.confirm(&request, &mut connection, &end).await?;
+    let contents = contents(&pending.response, settings, exchange.is_health_check());
+    let reuse = exchange.confirm(&request, &mut connection, &end, &contents).await?;
     let is_idle = reuse == Reuse::Possible && pending.response.leaves_session_clean();
     let response = finish_response(pending.response, end, streamed).await?;
     if is_idle && !closes_connection(&response) {
@@ -179,6 +180,21 @@
     Ok(response)
 }
 
+/// Returns what a response tells about its host. Only the response to a health check contains a load report.
+fn contents(response: &HostResponse, settings: &TdsSettings, is_health_check: bool) -> ResponseContents {
+    let row = response.first_row.as_ref().filter(|_| is_health_check);
+    ResponseContents {
+        outcome: attempt_outcome(&completion(response)),
+        trailer: LoadReport::default(),
+        report: row.map(|row| parse_report(row, &settings.probe.primary)).unwrap_or_default(),
+    }
+}
+
+/// Returns the error of a response, if there is one.
+fn completion(response: &HostResponse) -> Result<(), ConnectionError> {
+    response.error.clone().map_or(Ok(()), |code| Err(ConnectionError::HostError(code)))
+}
+
 /// Returns the response if it is usable, and streams its remaining part if streaming has started.
 async fn finish_response(
     mut response: HostResponse, end: ResponseEnd, streamed: Option<&StreamedAnswer>,
@@ -195,8 +211,7 @@
 
 /// Returns whether the response contains an error after which the host closes the connection.
 fn closes_connection(response: &HostResponse) -> bool {
-    let error = response.error.clone().map(ConnectionError::HostError);
-    error.is_some_and(|error| error.outcome() == AttemptOutcome::ConnectionReset)
+    attempt_outcome(&completion(response)) == AttemptOutcome::ConnectionReset
 }
 
 async fn connect_to_host(
--- a/crates/comethitchd/src/state/step_times.rs
+++ b/crates/comethitchd/src/state/step_times.rs
@@ -12,6 +12,8 @@
     Submit,
     /// Reports the end of an attempt to the policy.
     AttemptEnded,
+    /// Reports an answer to the policy that is not confirmed yet.
+    UnconfirmedAnswer,
     /// Reports the end of a health check to the policy.
     HealthChecked,
     /// Runs a tick of the policy.
@@ -36,6 +38,7 @@
         match self {
             EventLoopStep::Submit => "submit",
             EventLoopStep::AttemptEnded => "attempt_ended",
+            EventLoopStep::UnconfirmedAnswer => "unconfirmed_answer",
             EventLoopStep::HealthChecked => "health_checked",
             EventLoopStep::Tick => "tick",
             EventLoopStep::ClientDisconnected => "client_disconnected",
--- a/crates/comethitchd/tests/former_primary.rs
+++ b/crates/comethitchd/tests/former_primary.rs
@@ -3,16 +3,17 @@
 mod support;
 
 use comethitch_testkit::postgres::{answer_without_effect, read_message};
-use std::io::{Read, Write};
+use comethitch_testkit::{Client, Protocol, Reply};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::thread::spawn;
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
 use std::time::{Duration, SystemTime};
 use support::{
-    ClientReply, Gate, PostgresClient, Router, TEST_TIMEOUT, gate, message, one_row_answer, parameter_status,
-    ready, single_primary_configuration, write_request,
+    ClientReply, Gate, PostgresClient, PrimaryAndReplica, Router, TEST_TIMEOUT, error, gate, message,
+    one_row_answer, parameter_status, ready, single_primary_configuration, statement_rules, write_request,
 };
 
 /// Timeout of the requests, which no test reaches.
@@ -25,8 +26,23 @@
 /// Maximum number of connections to the host.
 const MAX_CONNECTIONS: usize = 20;
 
+/// Time after which the contents of an answer count as known, including the slack of the rules.
+const KNOWN_AFTER: Duration = Duration::from_millis(150);
+
+/// The answer after which a connection of the demoted host falls silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastAnswer {
+    Read,
+    Write,
+    HealthCheck,
+}
+
 /// State that the connections of the host share.
 struct Shared {
+    /// The first answer of this kind is the last one on its connection, if the host is not the primary.
+    falls_silent_after: Mutex<Option<LastAnswer>>,
+    /// Reports that a connection has fallen silent.
+    silence: Sender<()>,
     /// Whether the host is the primary.
     is_primary: AtomicBool,
     /// Whether new connections wait for the login gate.
@@ -47,6 +63,7 @@
     open_answers: Sender<()>,
     connecting: Receiver<()>,
     queries: Receiver<String>,
+    silence: Receiver<()>,
 }
 
 impl DemotedHost {
@@ -57,7 +74,10 @@
         let (open_answers, answers) = gate();
         let (report_connecting, connecting) = channel();
         let (report_query, queries) = channel();
+        let (report_silence, silence) = channel();
         let shared = Arc::new(Shared {
+            falls_silent_after: Mutex::new(None),
+            silence: report_silence,
             is_primary: AtomicBool::new(true),
             holds_logins: AtomicBool::new(false),
             logins,
@@ -72,7 +92,7 @@
                 spawn(move || serve(stream, &shared));
             }
         });
-        DemotedHost { address, shared, open_logins, open_answers, connecting, queries }
+        DemotedHost { address, shared, open_logins, open_answers, connecting, queries, silence }
     }
 }
 
@@ -89,17 +109,35 @@
     loop {
         let body = read_message(&mut stream).ok()?.body;
         let text = String::from_utf8_lossy(body.strip_suffix(b"\0").unwrap_or(&body)).into_owned();
-        let answer = match answer_without_effect(&text) {
-            Some(answer) => answer,
-            None if text == "SHOW vitals" => one_row_answer(load_report(shared).as_bytes()),
-            None => {
-                shared.queries.send(text).ok()?;
-                shared.answers.wait();
-                one_row_answer(b"old")
+        let (answer, kind) = match answer_without_effect(&text) {
+            Some(answer) => (answer, None),
+            None if text == "SHOW vitals" => {
+                (one_row_answer(load_report(shared).as_bytes()), Some(LastAnswer::HealthCheck))
             }
+            None => answer_query(text, shared)?,
         };
-        let rank = if shared.is_primary.load(SeqCst) { "source" } else { "copy" };
+        let is_primary = shared.is_primary.load(SeqCst);
+        let rank = if is_primary { "source" } else { "copy" };
         stream.write_all(&[answer, parameter_status("rank", rank), ready()].concat()).ok()?;
+        let mut last = shared.falls_silent_after.lock().expect("no thread panics while it holds the lock");
+        if !is_primary && kind.is_some() && *last == kind {
+            *last = None;
+            drop(last);
+            shared.silence.send(()).ok()?;
+            io::copy(&mut stream, &mut io::sink()).ok()?;
+        }
+    }
+}
+
+/// Answers a query once the gate is opened: a replica rejects writes.
+fn answer_query(text: String, shared: &Shared) -> Option<(Vec<u8>, Option<LastAnswer>)> {
+    let is_write = text.contains("INSERT");
+    shared.queries.send(text).ok()?;
+    shared.answers.wait();
+    match is_write {
+        true if !shared.is_primary.load(SeqCst) => Some((error("25006"), Some(LastAnswer::Write))),
+        true => Some((one_row_answer(b"old"), Some(LastAnswer::Write))),
+        false => Some((one_row_answer(b"old"), Some(LastAnswer::Read))),
     }
 }
 
@@ -185,3 +223,74 @@
     assert_eq!(late, Vec::<String>::new(), "nothing may arrive at the former primary");
     assert_eq!(reply, ClientReply::error("53300"), "the write never ran, so the client may repeat it");
 }
+
+/// Demotes a host whose connections have been used, and lets the connection fall silent on which it first tells
+/// that. Returns the reply to a strong read that is sent once the answer counts as known, and the queries that
+/// arrive at the host from then on.
+fn strong_read_after_silence(last_answer: LastAnswer) -> (ClientReply, Vec<String>) {
+    let host = DemotedHost::start();
+    let router = Router::start(single_primary_configuration(host.address));
+    let mut client = PostgresClient::connect(router.address);
+    for id in 1..5 {
+        host.open_answers.send(()).expect("the host waits for the test");
+        assert_eq!(client.execute(&strong_read(id)), ClientReply::value("old"));
+    }
+    *host.shared.falls_silent_after.lock().expect("no thread panics while it holds the lock") =
+        Some(last_answer);
+    host.shared.is_primary.store(false, SeqCst);
+    let text = if last_answer == LastAnswer::Write { write_request(5, TIMEOUT_MS) } else { strong_read(5) };
+    client.send(&text);
+    let open_gate = || (0..MAX_CONNECTIONS).for_each(|_| host.open_answers.send(()).expect("the host waits"));
+    // A request without an answer makes the router check the health of its host.
+    if last_answer != LastAnswer::HealthCheck {
+        open_gate();
+    }
+    host.silence.recv_timeout(TEST_TIMEOUT).expect("a connection falls silent");
+    sleep(KNOWN_AFTER);
+    open_gate();
+    let before = host.queries.try_iter().count();
+    let mut reader = PostgresClient::connect(router.address);
+    let reply = reader.execute(&strong_read(6));
+    let late = host.queries.try_iter().collect();
+    assert!(before >= 4, "the first reads must arrive at the host");
+    drop((client, reader));
+    router.shut_down();
+    (reply, late)
+}
+
+/// Guards against a stale read (review case 8): the answer that tells of the lost role is complete, but the
+/// answer to the barrier behind it never comes.
+#[test]
+fn strong_read_is_not_sent_after_an_unconfirmed_answer_as_replica() {
+    for last_answer in [LastAnswer::Read, LastAnswer::Write, LastAnswer::HealthCheck] {
+        let (reply, late) = strong_read_after_silence(last_answer);
+        assert_eq!(late, Vec::<String>::new(), "{last_answer:?}: nothing may arrive at the former primary");
+        assert_eq!(reply, ClientReply::error("53300"), "{last_answer:?}: the read never ran");
+    }
+}
+
+/// Guards against the same stale read on TDS, where only a rejected write and health checks tell of the role.
+#[test]
+fn batch_is_not_sent_after_an_unconfirmed_rejection_of_a_write() {
+    for protocol in Protocol::BOTH {
+        let rules = statement_rules(if protocol == Protocol::Tds { "tsql" } else { "postgres" }, TIMEOUT_MS);
+        let PrimaryAndReplica { primary, replica: _replica, ledger, router } =
+            PrimaryAndReplica::start(protocol, rules);
+        let mut client = Client::connect(protocol, router.address);
+        for key in 0..4 {
+            let write = format!("INSERT INTO t (k) VALUES ('first{key}')");
+            assert!(matches!(client.execute(&write), Reply::Answered(_)), "{protocol:?}");
+        }
+        primary.set_primary(false);
+        primary.fall_silent_after_rejected_write();
+        client.send("INSERT INTO t (k) VALUES ('rejected')");
+        while !primary.next_request().contains("rejected") {}
+        sleep(KNOWN_AFTER);
+        let read = format!("/* id=9,c=fresh,d={TIMEOUT_MS},cluster=0 */ SELECT k FROM t WHERE k = 'stale'");
+        let reply = Client::connect(protocol, router.address).execute(&read);
+        assert_eq!(ledger.executions("stale"), 0, "{protocol:?}: no host has all commits");
+        assert_eq!(reply, Reply::Throttled, "{protocol:?}: the read never ran");
+        drop(client);
+        router.shut_down();
+    }
+}
