No attempt starts for a client whose end of connection may be unseen

A client that comes again with the same id has it run twice.

Cause: while a request is in progress, at most 8 KiB are read ahead. What does not fit into the receive buffer stays at the client's machine, and so does the end of the stream behind it: neither a peek nor a poll shows it.

Change: a socket records when its peer was last known to be connected: when no more than 16 KiB were unread, so that the end of the stream would have been seen, or when something was written, since a peer that is gone answers that with a reset. The policy then ends the request as one that was not sent. Up to 16 KiB are read ahead now. 16 KiB and 75 ms are chosen; Linux advertises 64 KiB at first.

The price: a client that is connected and has more than 32 KiB of requests in flight gets an error instead of a retry. What it costs to read on instead was not tried: memory for each such client.

--- a/crates/comethitchd/src/protocols/attempt.rs
+++ b/crates/comethitchd/src/protocols/attempt.rs
@@ -12,12 +12,19 @@
 use std::future::Future;
 use std::rc::{Rc, Weak};
 
+/// Maximum time for which a client may not have been seen when an attempt is sent. The rules forbid attempts that
+/// begin more than 100 ms after a disconnect; a poll interval is left for noticing it.
+const MAX_UNSEEN_TIME: std::time::Duration = std::time::Duration::from_millis(75);
+
 /// Reasons why an attempt is not sent although a connection is available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum SendRefused {
     /// The client has closed its connection, or the sending half of it.
     #[error("the client has disconnected")]
     ClientGone,
+    /// The client has sent so much that the end of its connection can't be seen, for so long that it may be gone.
+    #[error("the client may have disconnected")]
+    ClientMayBeGone,
     /// The host reads the request so slowly that the remaining time stated in it is out of date.
     #[error("the host reads the request too slowly")]
     HostReadsSlowly,
@@ -31,6 +38,7 @@
     pub(super) fn name(self) -> &'static str {
         match self {
             SendRefused::ClientGone => "client_gone",
+            SendRefused::ClientMayBeGone => "client_may_be_gone",
             SendRefused::HostReadsSlowly => "host_reads_slowly",
             SendRefused::Policy(refusal) => refusal.name(),
         }
@@ -73,15 +81,22 @@
     /// # Errors
     /// The reason why the attempt must not be sent.
     pub(super) fn check_send(&self) -> Result<(), SendRefused> {
-        let client = self.client.upgrade();
-        if client.is_none_or(|client| client.has_ended()) {
-            return Err(SendRefused::ClientGone);
-        }
+        self.check_client()?;
         let router = self.state.policy();
         let handle = router.handle(self.request).ok_or(SendRefusal::RequestFinished)?;
         Ok(handle.check_send(&router, self.number, self.state.clock.now())?)
     }
 
+    /// Checks that the client is still connected.
+    fn check_client(&self) -> Result<(), SendRefused> {
+        let client = self.client.upgrade().filter(|client| !client.has_ended());
+        let client = client.ok_or(SendRefused::ClientGone)?;
+        if client.unseen_for() > MAX_UNSEEN_TIME {
+            return Err(SendRefused::ClientMayBeGone);
+        }
+        Ok(())
+    }
+
     /// Records a violation if the last byte was written too late, although the check before the write passed:
     /// the process may have been suspended between the two.
     pub(super) fn verify_sent(&self) {
--- a/crates/comethitchd/src/protocols/client_connection/waiting.rs
+++ b/crates/comethitchd/src/protocols/client_connection/waiting.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// Maximum size of pipelined input that is buffered while a request is in progress.
-const MAX_PIPELINED_BYTES: usize = 8 * 1024;
+const MAX_PIPELINED_BYTES: usize = 16 * 1024;
 /// Interval of polling for a disconnect while nothing is read. It must be well below 100 ms, because the
 /// rules forbid attempts that start more than 100 ms after a disconnect.
 const DISCONNECT_POLL_INTERVAL: Duration = Duration::from_millis(25);
--- a/crates/comethitchd/src/protocols/exchange.rs
+++ b/crates/comethitchd/src/protocols/exchange.rs
@@ -234,7 +234,9 @@
         self.attempt.inspect(|attempt| attempt.record_refused(refused));
         match refused {
             SendRefused::HostReadsSlowly => ConnectionError::BrokenBeforeSend,
-            SendRefused::ClientGone | SendRefused::Policy(_) => ConnectionError::NotSent,
+            SendRefused::ClientGone | SendRefused::ClientMayBeGone | SendRefused::Policy(_) => {
+                ConnectionError::NotSent
+            }
         }
     }
 
--- a/crates/comethitchd/src/state/socket.rs
+++ b/crates/comethitchd/src/state/socket.rs
@@ -17,13 +17,17 @@
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Maximum size of a request that is certain to fit into the receive buffer of its host. A part of a larger
 /// one may remain in the send buffer.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 4096;
 /// Size of the send buffer of connections to hosts.
 const SEND_BUFFER_BYTES: usize = 16 * 1024;
+/// Maximum number of unread bytes with which the end of the stream is certain to be noticed. If more are unread, the
+/// receive buffer may be full, and the end of the stream then waits at the peer. Linux advertises at least twice as
+/// much with its default buffer.
+const MAX_CERTAIN_UNREAD_BYTES: u64 = 16 * 1024;
 /// Delay before each retry of a connection attempt that failed for a transient local error.
 const CONNECT_BACKOFF: [Duration; 5] = [
     Duration::from_millis(1),
@@ -92,6 +96,8 @@
     /// Whether a large request was written and nothing has been read since. A part of it may still be in the
     /// send buffer.
     may_have_unsent_bytes: Cell<bool>,
+    /// When the peer was last known to be connected.
+    seen_connected_at: Cell<Instant>,
 }
 
 impl Socket {
@@ -99,7 +105,11 @@
     pub fn new(stream: Async<TcpStream>) -> Socket {
         // If this fails, answers are only delayed.
         let _ = stream.get_ref().set_nodelay(true);
-        Socket { stream, may_have_unsent_bytes: Cell::new(false) }
+        Socket {
+            stream,
+            may_have_unsent_bytes: Cell::new(false),
+            seen_connected_at: Cell::new(Instant::now()),
+        }
     }
 
     /// Connects to an address.
@@ -153,6 +163,19 @@
         }
     }
 
+    /// Returns how long the peer may have been disconnected without this having been noticed. It is zero unless
+    /// so many bytes are unread that the end of the stream may be stuck behind them. Writing counts as a
+    /// sign of the connection, because a peer that is gone resets the connection in response.
+    ///
+    /// Must be called after [`Socket::has_ended`] has returned false.
+    pub fn unseen_for(&self) -> Duration {
+        let unread = rustix::io::ioctl_fionread(&self.stream).unwrap_or(0);
+        if unread <= MAX_CERTAIN_UNREAD_BYTES {
+            self.seen_connected_at.set(Instant::now());
+        }
+        self.seen_connected_at.get().elapsed()
+    }
+
     fn is_hung_up(&self) -> bool {
         let hang_up = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
         let mut polled = [PollFd::new(&self.stream, hang_up)];
@@ -246,6 +269,7 @@
         // that waits for the peer.
         if let Poll::Ready(Ok(length)) = written {
             task_budget::charge(length);
+            self.seen_connected_at.set(Instant::now());
         }
         written
     }
--- a/crates/comethitchd/tests/client_disconnects.rs
+++ b/crates/comethitchd/tests/client_disconnects.rs
@@ -9,10 +9,13 @@
 use std::time::{Duration, Instant};
 use support::{
     BUSY_MACHINE_SLACK, ClientReply, DISCONNECT_GRACE, Daemon, HostAction, HostEvent, LateHost,
-    PostgresClient, Router, ScriptedHost, answer, message, pipelined_writes, query,
+    PostgresClient, Router, ScriptedHost, answer, gate, message, pipelined_writes, query, read_request,
     single_primary_configuration, startup_message, write_request,
 };
 
+/// Size of the value of each write behind a read.
+const WRITE_BYTES: usize = 4 * 1024;
+
 /// How a client disconnects.
 #[derive(Clone, Copy, Debug)]
 enum ClientExit {
@@ -128,6 +131,61 @@
     }
 }
 
+/// Sends a read and then writes behind it. The host closes the connection with the read 300 ms later, and answers
+/// whatever it gets after that. Returns the client unless it closes its connection after the last write.
+fn read_before_writes(writes: usize, stays: bool) -> (Option<PostgresClient>, ScriptedHost, Router) {
+    let (opener, gate) = gate();
+    let primary = ScriptedHost::primary(move |nth, _| {
+        if nth > 0 {
+            return answer("value");
+        }
+        gate.wait();
+        HostAction::Close
+    });
+    let router = Router::with_single_primary(&primary);
+    let mut client = PostgresClient::connect(router.address);
+    client.send(&read_request(1, 5_000));
+    assert!(matches!(primary.next_event(), HostEvent::Query(_)), "the read must be sent");
+    let filler = "x".repeat(WRITE_BYTES);
+    for id in 0..writes {
+        let text = write_request(2 + id as u32, 5_000).replace("'k'", &format!("'{filler}'"));
+        client.send(&text);
+    }
+    let client = stays.then_some(client);
+    sleep(DISCONNECT_GRACE * 3);
+    opener.send(()).expect("the host waits for the test");
+    (client, primary, router)
+}
+
+/// Guards against a retry for a client that has sent much and closed: the end of its connection is stuck behind
+/// what was not read.
+#[test]
+fn request_is_not_retried_if_its_client_may_have_left_behind_unread_input() {
+    let (_, primary, router) = read_before_writes(199, false);
+    sleep(DISCONNECT_GRACE * 3);
+    router.shut_down();
+    assert_eq!(primary.pending_queries(), Vec::<String>::new(), "nothing may be sent for the client");
+}
+
+/// Guards against refusing retries for clients that are connected: the end of the connection would be seen, or
+/// the request gets its final answer all the same.
+#[test]
+fn request_is_retried_if_the_end_of_its_connection_would_be_seen() {
+    let (client, primary, router) = read_before_writes(3, true);
+    let mut client = client.expect("the client stays");
+    assert_eq!(client.receive(), ClientReply::value("value"), "the read must be retried");
+    drop(client);
+    router.shut_down();
+    assert!(!primary.pending_queries().is_empty(), "the read must be sent again");
+    let (client, _primary, router) = read_before_writes(199, true);
+    let reply = client.expect("the client stays").receive();
+    assert!(
+        matches!(reply, ClientReply::Error(_)),
+        "a final answer, since the client may have left: {reply:?}"
+    );
+    router.shut_down();
+}
+
 #[test]
 fn client_disconnect_cancels_its_attempt() {
     let primary = ScriptedHost::primary(|_, _| HostAction::Silence);
