Stalls are logged once a second, and discarded input is slowed down

Cause: each stall of two ticks is logged, and each line takes time itself. Input after an error is discarded as fast as it comes, until the client closes or 2 s are over.

Change: at most one line a second, with `stalls`, their number since the last one, and the longest of them in `stalled_ms`.

The slower discard has no test of its own; the one with 60 MB in tests/limits.rs passes as before.

--- a/crates/comethitchd/src/protocols/client_connection/closing.rs
+++ b/crates/comethitchd/src/protocols/client_connection/closing.rs
@@ -4,6 +4,7 @@
 use crate::state::client_registry::ConnectionPhase;
 use crate::state::clock::after;
 use crate::state::signals::CloseRequest;
+use async_io::Timer;
 use comethitch_policy::time::Duration as PolicyDuration;
 use futures_lite::FutureExt;
 use std::io;
@@ -13,6 +14,12 @@
 /// reset the connection, and the client could lose the last answer.
 const LINGER: Duration = Duration::from_millis(60);
 
+/// Number of bytes that are discarded without a pause: the rest of the largest message that clients are known to
+/// send by mistake.
+const MAX_PROMPT_DISCARD_BYTES: usize = 64 << 20;
+/// Pause after each further read, so that a client that sends without end has to wait.
+const DISCARD_PAUSE: Duration = Duration::from_millis(25);
+
 impl ClientConnection {
     /// Closes the connection. `encode` returns the protocol's message for an error that is sent to the
     /// client.
@@ -77,7 +84,15 @@
         self.write(last_bytes).await.ok()?;
         self.stream.shut_down_write().ok()?;
         self.consume(self.buffer.unread().len());
-        while self.stream.read_into(self.state.clients.discard_buffer()).await.ok()? > 0 {}
-        None
+        let mut discarded_bytes = 0;
+        loop {
+            match self.stream.read_into(self.state.clients.discard_buffer()).await.ok()? {
+                0 => return None,
+                length => discarded_bytes += length,
+            }
+            if discarded_bytes > MAX_PROMPT_DISCARD_BYTES {
+                Timer::after(DISCARD_PAUSE).await;
+            }
+        }
     }
 }
--- a/crates/comethitchd/src/state/stall_detector.rs
+++ b/crates/comethitchd/src/state/stall_detector.rs
@@ -12,6 +12,9 @@
 /// Maximum interval between two observations, in ticks, that does not count as a stall.
 const MAX_INTERVAL_TICKS: u64 = 2;
 
+/// Minimum time between two log lines about stalls.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A period in which the event loop did not run.
 #[derive(Clone, Copy, Default)]
 struct Stall {
@@ -28,6 +31,35 @@
     next_tick_due: Cell<Timestamp>,
     /// How long the last tick waited in the event loop after it was due.
     last_tick_delay: Cell<Duration>,
+    log: Cell<StallLog>,
+}
+
+/// The stalls since the last log line. A router without enough processor time may stall hundreds of times a
+/// second, and a line for each would take more of it.
+#[derive(Clone, Copy, Default)]
+struct StallLog {
+    last_line: Timestamp,
+    since: StallReport,
+}
+
+/// The number of stalls, and how long the longest one took.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct StallReport {
+    stalls: u64,
+    longest: Duration,
+}
+
+impl StallLog {
+    /// Records a stall. Returns those since the last line if another line is due.
+    fn record(&mut self, stalled: Duration, now: Timestamp) -> Option<StallReport> {
+        self.since.stalls += 1;
+        self.since.longest = self.since.longest.max(stalled);
+        if now - self.last_line < LOG_INTERVAL {
+            return None;
+        }
+        self.last_line = now;
+        Some(std::mem::take(&mut self.since))
+    }
 }
 
 impl StallDetector {
@@ -39,6 +71,7 @@
             tick_interval: Cell::default(),
             next_tick_due: Cell::new(now + Duration::MAX),
             last_tick_delay: Cell::default(),
+            log: Cell::default(),
         }
     }
 
@@ -63,11 +96,19 @@
         let from = self.last_observation.get();
         if self.has_just_stalled(now) {
             self.last_stall.set(Stall { from, until: now });
-            log::warn!(stalled_ms = (now - from).as_micros() / 1_000; "event loop stalled");
+            self.log_stall(now - from, now);
         }
         self.last_observation.set(now);
     }
 
+    fn log_stall(&self, stalled: Duration, now: Timestamp) {
+        let mut log = self.log.get();
+        if let Some(StallReport { stalls, longest }) = log.record(stalled, now) {
+            log::warn!(stalled_ms = longest.as_micros() / 1_000, stalls; "event loop stalled");
+        }
+        self.log.set(log);
+    }
+
     /// Returns the earliest time at which bytes that are read `now` may have arrived.
     ///
     /// Bytes may have waited for as long as the last tick was delayed, or as long as the next one is overdue.
--- a/crates/comethitchd/src/state/stall_detector/tests.rs
+++ b/crates/comethitchd/src/state/stall_detector/tests.rs
@@ -1,4 +1,4 @@
-use super::StallDetector;
+use super::{StallDetector, StallLog, StallReport};
 use comethitch_policy::time::{Duration, Timestamp};
 
 const TICK: Duration = Duration::from_millis(10);
@@ -51,3 +51,15 @@
         "the next tick is 7 ms overdue"
     );
 }
+
+/// Guards against a log line for each of hundreds of stalls a second.
+#[test]
+fn stalls_are_logged_once_a_second_with_their_number() {
+    let mut log = StallLog::default();
+    let first = log.record(TICK * 3, at_ms(0));
+    assert_eq!(first, Some(StallReport { stalls: 1, longest: TICK * 3 }));
+    assert_eq!(log.record(TICK * 5, at_ms(50)), None);
+    assert_eq!(log.record(TICK * 4, at_ms(999)), None);
+    let next = log.record(TICK * 3, at_ms(1_000));
+    assert_eq!(next, Some(StallReport { stalls: 3, longest: TICK * 5 }));
+}
