--- a/crates/comethitchd/src/protocols/client_connection/mod.rs
+++ b/crates/comethitchd/src/protocols/client_connection/mod.rs
@@ -117,7 +117,7 @@
         self.has_been_answered = true;
         self.answer_outstanding.set(false);
         self.consecutive_invalid = 0;
-        self.message_allowance.record_request();
+        self.message_allowance.record_useful_message();
     }
 
     /// Counts and logs an invalid statement.
--- a/crates/comethitchd/src/service/discovery_client.rs
+++ b/crates/comethitchd/src/service/discovery_client.rs
@@ -41,6 +41,9 @@
     /// The watch sent no complete line in time.
     #[error("watch timed out")]
     WatchTimeout,
+    /// The watch sent too many empty lines, or lists that change nothing.
+    #[error("watch sent too many lines that change nothing")]
+    TooManyIdleItems,
     /// The connection failed.
     #[error("{0}")]
     Io(#[from] io::Error),
--- a/crates/comethitchd/src/service/endpoint_watch.rs
+++ b/crates/comethitchd/src/service/endpoint_watch.rs
@@ -12,10 +12,12 @@
 };
 use crate::service::endpoint_update;
 use crate::state::clock::after;
+use crate::state::message_allowance::{MessageAllowance, MessageLimit};
 use crate::state::router_state::RouterState;
 use crate::wire::discovery;
 use crate::wire::json_stream::JsonStreamItem;
 use async_io::Timer;
+use comethitch_policy::time::Timestamp;
 use futures_lite::FutureExt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -102,19 +104,38 @@
     let path = format!("{LIST_PATH}?follow=1&since={since}");
     let mut response =
         DiscoveryResponse::request(address, &path, state.discovery.response_timeout(), &state.memory).await?;
+    let mut allowance = MessageAllowance::new(state.clock.now());
     loop {
         let next_item = with_timeout(WATCH_TIMEOUT, DiscoveryError::WatchTimeout, response.next_item());
         let Some(item) = next_item.await? else {
             return Ok(());
         };
         state.discovery.record_watch_event(state.clock.now());
+        let version = state.hosts.directory().version();
         if let JsonStreamItem::Object(text) = item {
-            let version = state.hosts.directory().version();
             endpoint_update::apply(state, &text, version)?;
         }
+        if state.hosts.directory().version() == version {
+            limit_idle_items(&mut allowance, state.clock.now()).await?;
+        } else {
+            allowance.record_useful_message();
+        }
     }
 }
 
+/// Takes an item that changes nothing from the allowance of a watch. If there were too many, first waits without
+/// reading.
+async fn limit_idle_items(allowance: &mut MessageAllowance, now: Timestamp) -> Result<(), DiscoveryError> {
+    match allowance.take(now) {
+        MessageLimit::Handle => {}
+        MessageLimit::HandleAfter(pause) => {
+            Timer::after(pause.to_std()).await;
+        }
+        MessageLimit::Exceeded => return Err(DiscoveryError::TooManyIdleItems),
+    }
+    Ok(())
+}
+
 /// Fetches the complete list; once all of it has arrived, applies it unless its version is the current one.
 async fn fetch_list(state: &Rc<RouterState>, address: SocketAddr) -> Result<(), DiscoveryError> {
     let version_before = state.hosts.directory().version();
--- a/crates/comethitchd/src/state/message_allowance.rs
+++ b/crates/comethitchd/src/state/message_allowance.rs
@@ -1,41 +1,42 @@
-//! Limits how many messages a client may send that are no requests, such as empty queries, settings of the
-//! session, and messages of a protocol that is not supported.
+//! Limits how many messages of no use a peer may send: of a client those that are no requests, such as empty
+//! queries, settings of the session, and messages of a protocol that is not supported; of a watch at the discovery
+//! service empty lines and lists that change nothing.
 //!
-//! Each of them is cheap, but a client that sends nothing else at full speed takes processor time from all
-//! others. Requests are not limited here: the policy decides on them.
+//! Each of them is cheap, but a peer that sends nothing else at full speed takes processor time from all others.
+//! Requests are not limited here: the policy decides on them.
 
 use comethitch_policy::time::{Duration, Timestamp};
 
-/// Number of messages that a client may send at once.
+/// Number of messages of no use that a peer may send at once.
 const MAX_SAVED_MESSAGES: u64 = 512;
-/// Time in which a client may send one more message.
+/// Time in which a peer may send one more message.
 const REFILL_INTERVAL: Duration = Duration::from_millis(10);
-/// Number of messages that each answered request adds. Drivers send settings, preparations and checks of the
+/// Number of messages that each one of use adds, such as an answered request. Drivers send settings, preparations and checks of the
 /// connection around their requests.
-const MESSAGES_PER_REQUEST: u64 = 8;
+const MESSAGES_PER_USEFUL_MESSAGE: u64 = 8;
 /// Length of the first pause. Each further one is twice as long.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// Number of pauses without an answered request in between after which the client is disconnected. Together they
+/// Number of pauses without a message of use in between after which the peer is disconnected. Together they
 /// take 1.55 s, since a client that is of no use must get an error or a close within 3 s.
 const MAX_PAUSES: u32 = 5;
 
-/// Whether a client's next message may be handled.
+/// Whether a peer's next message may be handled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MessageLimit {
     /// At once.
     Handle,
-    /// After a pause in which nothing is read from the client.
+    /// After a pause in which nothing is read from the peer.
     HandleAfter(Duration),
-    /// The client must be disconnected.
+    /// The peer must be disconnected.
     Exceeded,
 }
 
-/// The messages without a request that a client may still send.
+/// The messages of no use that a peer may still send.
 #[derive(Debug)]
 pub struct MessageAllowance {
     saved: u64,
     refilled_at: Timestamp,
-    /// Number of pauses since the allowance was last full, or a request was last answered.
+    /// Number of pauses since the allowance was last full, or a message of use was last recorded.
     pauses: u32,
 }
 
@@ -45,7 +46,7 @@
         MessageAllowance { saved: MAX_SAVED_MESSAGES, refilled_at: now, pauses: 0 }
     }
 
-    /// Takes a message that is no request from the allowance.
+    /// Takes a message of no use from the allowance.
     ///
     /// ```
     /// use comethitch_policy::time::Timestamp;
@@ -69,9 +70,9 @@
         MessageLimit::HandleAfter(FIRST_PAUSE * (1 << (self.pauses - 1)))
     }
 
-    /// Records an answered request, which shows that the client is of use.
-    pub fn record_request(&mut self) {
-        self.saved = (self.saved + MESSAGES_PER_REQUEST).min(MAX_SAVED_MESSAGES);
+    /// Records a message of use, such as an answered request.
+    pub fn record_useful_message(&mut self) {
+        self.saved = (self.saved + MESSAGES_PER_USEFUL_MESSAGE).min(MAX_SAVED_MESSAGES);
         self.pauses = 0;
     }
 
--- a/crates/comethitchd/tests/busy_hosts.rs
+++ b/crates/comethitchd/tests/busy_hosts.rs
@@ -5,22 +5,25 @@
 
 use comethitch_testkit::Protocol;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 use support::endless_peer::{FLOOD_TIME, UsualClient, flood};
 use support::{
-    BUSY_MACHINE_SLACK, ClientReply, HostAction, PostgresClient, Router, ScriptedHost, answer, configuration,
-    message, one_row_answer, parameter_status, read_http_request, read_request, ready, ready_primary,
-    ready_replica, single_primary_configuration, write_request,
+    BUSY_MACHINE_SLACK, ClientReply, Discovery, HostAction, PostgresClient, Router, ScriptedHost, answer,
+    configuration, configuration_with_discovery, message, one_row_answer, parameter_status,
+    read_http_request, read_request, ready, ready_primary, ready_replica, single_primary_configuration,
+    write_request,
 };
 
 /// Id of the request whose answer never ends.
 const SPOILT_ID: u32 = 666;
 /// Timeout of the request whose answer never ends.
 const SPOILT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time within which a watch that changes nothing ends: before the complete list would be polled.
+const MAX_WATCH_TIME: Duration = Duration::from_secs(3);
 /// Delay between reads.
 const READ_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -155,6 +158,34 @@
     }
 }
 
+/// Guards against a watch that costs processor time for as long as it likes: reading from it slows down, and it is
+/// restarted.
+#[test]
+fn watch_that_changes_nothing_is_slowed_down_and_restarted() {
+    for line in ["\n", "{\"seq\":1,\"whole\":false,\"hosts\":[]}\n"] {
+        let primary = ScriptedHost::primary(|_, _| answer("value"));
+        let discovery = Discovery::start();
+        let hosts = [ready_primary("p", primary.address)];
+        let router = Router::start(configuration_with_discovery(&hosts, &discovery));
+        let (request_line, mut watch) = discovery.next_request();
+        assert!(request_line.contains("follow=1"), "the router must watch the list: {request_line}");
+        let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+        let started = Instant::now();
+        let flooding = spawn(move || flood_until_closed(&mut watch, chunk.as_bytes()));
+        let (request_line, _next) = discovery.next_request();
+        assert!(request_line.contains("follow=1"), "the watch must be restarted: {request_line}");
+        assert!(started.elapsed() < MAX_WATCH_TIME, "the watch must end: {:?}", started.elapsed());
+        flooding.join().expect("the discovery service does not panic");
+        router.shut_down();
+    }
+}
+
+/// Sends copies of a message until the connection breaks.
+fn flood_until_closed(stream: &mut TcpStream, message: &[u8]) {
+    let block = message.repeat(100);
+    while stream.write_all(&block).is_ok() {}
+}
+
 fn start_endless_discovery(head: &'static [u8], repeated: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("a bound listener has an address");
