--- a/crates/comethitchd/src/protocols/attempt.rs
+++ b/crates/comethitchd/src/protocols/attempt.rs
@@ -22,7 +22,8 @@
     /// The client has closed its connection, or the sending half of it.
     #[error("the client has disconnected")]
     ClientGone,
-    /// The client has sent so much that the end of its connection can't be seen, for so long that it may be gone.
+    /// The client may be gone: too much of its input is unread for the end of its connection to be seen, and it was
+    /// not seen for longer than [`MAX_UNSEEN_TIME`].
     #[error("the client may have disconnected")]
     ClientMayBeGone,
     /// The host reads the request so slowly that the remaining time stated in it is out of date.
--- a/crates/comethitchd/src/protocols/client_connection/waiting.rs
+++ b/crates/comethitchd/src/protocols/client_connection/waiting.rs
@@ -143,8 +143,8 @@
         }
     }
 
-    /// Waits without reading. The wait ends early if the client disconnects, or if the connection is asked to
-    /// close, since its requests must then be answered soon.
+    /// Waits without reading. The wait ends early if the client disconnects, or if a close of the connection is
+    /// requested, since its requests must then be answered soon.
     async fn pause_reading(&mut self, pause: Duration) {
         let signal = self.signal.clone();
         let close = signal.wait_for_close(CloseRequest::WhenIdle);
--- a/crates/comethitchd/src/state/socket.rs
+++ b/crates/comethitchd/src/state/socket.rs
@@ -163,8 +163,8 @@
         }
     }
 
-    /// Returns how long the peer may have been disconnected without this having been noticed. It is zero unless
-    /// so many bytes are unread that the end of the stream may be stuck behind them. Writing counts as a
+    /// Returns how long the peer may have been disconnected without this having been noticed. It is zero
+    /// unless the end of the stream may be stuck behind unread bytes. Writing counts as a
     /// sign of the connection, because a peer that is gone resets the connection in response.
     ///
     /// Must be called after [`Socket::has_ended`] has returned false.
--- a/crates/comethitchd/src/state/task_executor.rs
+++ b/crates/comethitchd/src/state/task_executor.rs
@@ -41,7 +41,7 @@
         limited_main.or(self.run_tasks()).await
     }
 
-    /// Polls tasks that are ready, one after the other; never completes.
+    /// Polls tasks in the order in which they became ready; never completes.
     async fn run_tasks<T>(&self) -> T {
         let turn_started = Cell::new(Instant::now());
         let mut turns = pin!(async {
--- a/crates/comethitchd/tests/support/endless_peer.rs
+++ b/crates/comethitchd/tests/support/endless_peer.rs
@@ -44,7 +44,7 @@
 }
 
 impl UsualClient {
-    /// Starts sending writes, one after the other, on one connection.
+    /// Starts sending sequential writes on one connection.
     pub(crate) fn start(protocol: Protocol, router: SocketAddr) -> UsualClient {
         let stopped = Arc::new(AtomicBool::new(false));
         let stopping = stopped.clone();
