--- a/crates/comethitchd/src/state/task_executor.rs
+++ b/crates/comethitchd/src/state/task_executor.rs
@@ -1,7 +1,7 @@
 //! The executor of the router's tasks on its one thread.
 //!
 //! It bounds how long a task can keep the others waiting: each poll of a task has a
-//! [budget](super::task_budget), and after at most [`MAX_TURN`] and one poll of a task, the thread returns to
+//! [budget](super::task_budget), and after at most 1 ms and one poll of a task, the thread returns to
 //! the reactor, which fires timers and wakes the tasks whose sockets have become ready. Woken tasks are polled
 //! in order.
 
